Add outcomes, selectors, budgets, wire format and configuration fold

Cause: the path needs its pure decisions before any process can use them. Ruled out: none yet. Before: empty repository. After: unit, property and fuzz seeds pass in wharf/. Conclusion: a grant handed down by three quarters carries a chain of nine.

--- /dev/null
+++ b/wharf/wharfbudget/budget_test.go
@@ -0,0 +1,152 @@
+package wharfbudget
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// handDown decides how many attempts one attempt hands down.
+type handDown func(g Grant) (rest Grant, handedDown int, ok bool)
+
+// copyGrant is the naive decision: each hop hands its whole grant down.
+func copyGrant(g Grant) (Grant, int, bool) {
+	if g.left < 1 {
+		return g, 0, false
+	}
+	return Grant{left: g.left - 1}, g.left - 1, true
+}
+
+// spread runs a random call tree in which every hop retries and calls on, and
+// counts the attempts. Lost answers return nothing.
+func spread(t *rapid.T, take handDown, g Grant, depth int, attempts *int) Grant {
+	tries := rapid.IntRange(0, 4).Draw(t, "tries")
+	for range tries {
+		rest, down, ok := take(g)
+		if !ok {
+			return g
+		}
+		*attempts++
+		if *attempts > 4*DefaultAttempts {
+			return rest
+		}
+		left := NewGrant(down)
+		if depth > 0 {
+			left = spread(t, take, left, depth-1, attempts)
+		}
+		g = rest
+		if rapid.Bool().Draw(t, "answered") {
+			g = g.WithReturned(down, left.Left())
+		}
+	}
+	return g
+}
+
+func TestAttemptsStayWithinRootGrant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		root := rapid.IntRange(0, DefaultAttempts).Draw(t, "root")
+		attempts := 0
+		spread(t, Grant.WithAttempt, NewGrant(root), 9, &attempts)
+		if attempts > root {
+			t.Fatalf("%d attempts for a grant of %d", attempts, root)
+		}
+	})
+}
+
+// TestCopiedGrantBreaksBound shows that the property above has teeth.
+func TestCopiedGrantBreaksBound(t *testing.T) {
+	attempts := 0
+	var chain func(g Grant, depth int)
+	chain = func(g Grant, depth int) {
+		for range 2 {
+			_, down, ok := copyGrant(g)
+			if !ok || depth == 0 {
+				return
+			}
+			attempts++
+			chain(NewGrant(down), depth-1)
+		}
+	}
+	chain(NewGrant(8), 5)
+	is.New(t).True(attempts > 8)
+}
+
+func TestChainWithoutFaultsNeverDies(t *testing.T) {
+	tests := []struct {
+		name  string
+		depth int
+		width int
+	}{
+		{"chain of nine", 9, 1},
+		{"two calls in sequence at each of four hops", 4, 2},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			_, ok := walk(NewGrant(DefaultAttempts), tc.depth, tc.width)
+			is.New(t).True(ok)
+		})
+	}
+}
+
+// walk makes width calls in sequence at each hop; answers return the rest.
+func walk(g Grant, depth, width int) (Grant, bool) {
+	if depth == 0 {
+		return g, true
+	}
+	for range width {
+		rest, down, ok := g.WithAttempt()
+		if !ok {
+			return g, false
+		}
+		left, ok := walk(NewGrant(down), depth-1, width)
+		if !ok {
+			return g, false
+		}
+		g = rest.WithReturned(down, left.Left())
+	}
+	return g, true
+}
+
+func TestLedger(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	_, ok := l.Take(7)
+	is.True(!ok) // an unknown grant creates no attempts
+	l.Open(7, Entry{Grant: NewGrant(3)})
+	down, ok := l.Take(7)
+	is.True(ok)
+	is.Equal(down, 2)
+	_, ok = l.Take(7)
+	is.True(!ok)
+	l.Return(7, down, 100)
+	is.Equal(l.Close(7), 2) // a peer returns no more than it was handed
+	is.Equal(l.Len(), 0)
+}
+
+func TestRetryRatio(t *testing.T) {
+	is := is.New(t)
+	var b RetryRatio
+	allowed := 0
+	for range 100 {
+		if b.Allow() {
+			allowed++
+		}
+	}
+	is.Equal(allowed, retryBurst)
+	for range 10 {
+		b.Success()
+	}
+	is.True(b.Allow())
+	is.True(!b.Allow())
+}
+
+func BenchmarkLedgerTake(b *testing.B) {
+	var l Ledger
+	l.Open(1, Entry{Grant: NewGrant(64)})
+	b.ReportAllocs()
+	for b.Loop() {
+		down, _ := l.Take(1)
+		l.Undo(1, down)
+	}
+}
--- /dev/null
+++ b/wharf/wharfbudget/ledger.go
@@ -0,0 +1,121 @@
+package wharfbudget
+
+import (
+	"sync"
+	"time"
+)
+
+const ledgerShards = 64
+
+// GrantID names a grant in the ledger of the node that issued it.
+type GrantID uint64
+
+// Entry is what a node remembers of a call that its target is serving.
+type Entry struct {
+	Grant Grant
+	// Deadline ends the call and all that it calls.
+	Deadline time.Time
+	// Request, Class and Depth are those of the call being served.
+	Request string
+	Class   string
+	Depth   int
+}
+
+// Ledger keeps the grants of the calls that a node's target is serving. A
+// call made for an unknown grant is refused, so a node that lost its memory
+// can't create attempts. The zero Ledger is ready to use.
+type Ledger struct {
+	shards [ledgerShards]ledgerShard
+}
+
+type ledgerShard struct {
+	mu      sync.Mutex
+	entries map[GrantID]Entry
+}
+
+func (l *Ledger) shard(id GrantID) *ledgerShard {
+	return &l.shards[uint64(id)%ledgerShards]
+}
+
+// Open stores the entry of a call that starts.
+func (l *Ledger) Open(id GrantID, e Entry) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries == nil {
+		s.entries = make(map[GrantID]Entry)
+	}
+	s.entries[id] = e
+}
+
+// Get returns the entry of a call that is being served.
+func (l *Ledger) Get(id GrantID) (Entry, bool) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	return e, ok
+}
+
+// Take spends one attempt of a grant and returns the part handed down.
+func (l *Ledger) Take(id GrantID) (handedDown int, ok bool) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, found := s.entries[id]
+	if !found {
+		return 0, false
+	}
+	e.Grant, handedDown, ok = e.Grant.WithAttempt()
+	s.entries[id] = e
+	return handedDown, ok
+}
+
+// Return gives back what an attempt did not use. Nothing happens if the call
+// has already ended, because its grant was settled then.
+func (l *Ledger) Return(id GrantID, handedDown, returned int) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, found := s.entries[id]
+	if !found {
+		return
+	}
+	e.Grant = e.Grant.WithReturned(handedDown, returned)
+	s.entries[id] = e
+}
+
+// Undo takes back an attempt that was never sent.
+func (l *Ledger) Undo(id GrantID, handedDown int) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, found := s.entries[id]
+	if !found {
+		return
+	}
+	e.Grant = e.Grant.WithUndone(handedDown)
+	s.entries[id] = e
+}
+
+// Close ends a call and returns the attempts that it did not use.
+func (l *Ledger) Close(id GrantID) int {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	delete(s.entries, id)
+	return e.Grant.Left()
+}
+
+// Len returns the number of calls being served.
+func (l *Ledger) Len() int {
+	n := 0
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		n += len(s.entries)
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/wharf/wharfconfig/compile.go
@@ -0,0 +1,199 @@
+package wharfconfig
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfbudget"
+	"ragwortwharf.dev/wharf/wharfselector"
+)
+
+// Values in force where no document says otherwise.
+const (
+	DefaultClass         = "default"
+	DefaultTimeout       = 5 * time.Second
+	DefaultMaxTimeout    = time.Minute
+	DefaultResendHorizon = 10 * time.Minute
+	DefaultClockSkew     = 2 * time.Second
+	defaultRank          = MaxRank / 2
+)
+
+// labelService is the label that rules are indexed by.
+const labelService = "service"
+
+// compiled is the form of a snapshot that classification works on.
+type compiled struct {
+	classes  []Class
+	services map[string]*serviceIndex
+	// general holds the rules that don't name their services.
+	general      []rule
+	targetRules  []targetRule
+	targetLabels map[string]map[string]string
+	defaults     defaults
+}
+
+type serviceIndex struct {
+	labels   map[string]string
+	requests []request
+	rules    []rule
+}
+
+type request struct {
+	name    string
+	methods []string
+	path    string
+	labels  map[string]string
+}
+
+type rule struct {
+	selector wharfselector.Selector
+	doc      *Document
+}
+
+type targetRule struct {
+	selector wharfselector.Selector
+	name     string
+	leaving  bool
+}
+
+type defaults struct {
+	class         string
+	timeout       time.Duration
+	maxTimeout    time.Duration
+	attempts      int
+	resendHorizon time.Duration
+	clockSkew     time.Duration
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name string
+	// Rank orders classes; zero is the most important.
+	Rank    int
+	Reserve float64
+}
+
+func compile(objects map[ObjectKey]Object) *compiled {
+	c := &compiled{
+		services:     map[string]*serviceIndex{},
+		targetLabels: map[string]map[string]string{},
+		defaults:     compileDefaults(objects),
+	}
+	for _, o := range objects {
+		c.add(o.Document)
+	}
+	slices.SortFunc(c.classes, func(a, b Class) int { return cmp.Compare(a.Rank, b.Rank) })
+	slices.SortFunc(c.general, compareRules)
+	slices.SortFunc(c.targetRules, func(a, b targetRule) int { return cmp.Compare(a.name, b.name) })
+	for _, s := range c.services {
+		slices.SortFunc(s.requests, compareRequests)
+		s.rules = append(s.rules, c.general...)
+		slices.SortFunc(s.rules, compareRules)
+	}
+	return c
+}
+
+func (c *compiled) add(d *Document) {
+	switch d.Kind {
+	case KindClass:
+		c.classes = append(c.classes, Class{Name: d.Name, Rank: d.Rank, Reserve: d.Reserve})
+	case KindService:
+		c.service(d.Name).labels = d.Labels
+	case KindRequest:
+		s := c.service(d.Service)
+		s.requests = append(s.requests, request{name: d.Name, methods: d.Methods, path: d.Path, labels: d.Labels})
+	case KindRule:
+		c.addRule(d)
+	case KindTargetRule:
+		selector, err := wharfselector.Parse(d.Selector)
+		if err == nil {
+			c.targetRules = append(c.targetRules, targetRule{selector, d.Name, *d.Leaving})
+		}
+	case KindTargetLabel:
+		c.targetLabels[d.Target] = d.Labels
+	}
+}
+
+func (c *compiled) addRule(d *Document) {
+	selector, err := wharfselector.Parse(d.Selector)
+	if err != nil {
+		return
+	}
+	r := rule{selector, d}
+	names, narrowed := selector.RequiredValues(labelService)
+	if !narrowed {
+		c.general = append(c.general, r)
+		return
+	}
+	for _, name := range names {
+		s := c.service(name)
+		s.rules = append(s.rules, r)
+	}
+}
+
+func (c *compiled) service(name string) *serviceIndex {
+	s, ok := c.services[name]
+	if !ok {
+		s = &serviceIndex{}
+		c.services[name] = s
+	}
+	return s
+}
+
+// compareRules puts the higher precedence first, then the earlier name.
+func compareRules(a, b rule) int {
+	if n := cmp.Compare(b.doc.Precedence, a.doc.Precedence); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.doc.Name, b.doc.Name)
+}
+
+// compareRequests puts the more specific pattern first.
+func compareRequests(a, b request) int {
+	if n := cmp.Compare(literalLength(b.path), literalLength(a.path)); n != 0 {
+		return n
+	}
+	if n := cmp.Compare(len(b.methods), len(a.methods)); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.name, b.name)
+}
+
+func literalLength(pattern string) int {
+	return len(strings.ReplaceAll(pattern, "*", ""))
+}
+
+func compileDefaults(objects map[ObjectKey]Object) defaults {
+	d := defaults{
+		class:         DefaultClass,
+		timeout:       DefaultTimeout,
+		maxTimeout:    DefaultMaxTimeout,
+		attempts:      wharfbudget.DefaultAttempts,
+		resendHorizon: DefaultResendHorizon,
+		clockSkew:     DefaultClockSkew,
+	}
+	o, ok := objects[ObjectKey{KindDefaults, DefaultsName}]
+	if !ok {
+		return d
+	}
+	doc := o.Document
+	if doc.Class != "" {
+		d.class = doc.Class
+	}
+	if doc.Attempts != nil {
+		d.attempts = *doc.Attempts
+	}
+	override(&d.timeout, doc.Timeout)
+	override(&d.maxTimeout, doc.MaxTimeout)
+	override(&d.resendHorizon, doc.ResendHorizon)
+	override(&d.clockSkew, doc.ClockSkew)
+	return d
+}
+
+func override(into *time.Duration, d *Duration) {
+	if d != nil {
+		*into = time.Duration(*d)
+	}
+}
--- /dev/null
+++ b/wharf/wharfconfig/config_test.go
@@ -0,0 +1,219 @@
+package wharfconfig
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const sampleFile = `
+kind: class
+name: reads
+rank: 0
+reserve: 0.2
+---
+kind: class
+name: bulk
+rank: 9
+---
+kind: service
+name: schedules
+labels: {tier: core}
+---
+kind: request
+name: board
+service: schedules
+methods: [GET]
+path: /boards/*
+labels: {work: read}
+---
+kind: rule
+name: boards-first
+selector: service=schedules,work=read
+class: reads
+timeout: 2s
+---
+kind: rule
+name: uploads-last
+selector: method in (PUT)
+precedence: 5
+class: bulk
+idempotent: true
+---
+kind: target-rule
+name: old-racks
+selector: rack=7
+leaving: true
+---
+kind: defaults
+name: defaults
+timeout: 3s
+attempts: 32
+`
+
+func parseValid(t *testing.T, text string) []Located {
+	t.Helper()
+	docs, faults := Parse("sample.yaml", []byte(text))
+	if len(faults) == 0 {
+		faults = Validate(docs, nil)
+	}
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return docs
+}
+
+func sampleSnapshot(t *testing.T) *Snapshot {
+	t.Helper()
+	change := Change{ID: "first", Author: "ops"}
+	for _, d := range parseValid(t, sampleFile) {
+		doc := d.Document
+		change.Edits = append(change.Edits, Edit{Key: doc.Key(), Document: &doc})
+	}
+	s := (*Snapshot)(nil).WithChanges([]Positioned{{Change: change, Offset: 1}})
+	is.New(t).True(s.Verdicts()[0].Accepted)
+	return s
+}
+
+func TestClassify(t *testing.T) {
+	s := sampleSnapshot(t)
+	tests := []struct {
+		name       string
+		request    RequestAttributes
+		class      string
+		idempotent bool
+		timeout    time.Duration
+	}{
+		{"request document and service rule", RequestAttributes{Service: "schedules", Method: "GET", Path: "/boards/7"}, "reads", true, 2 * time.Second},
+		{"other path", RequestAttributes{Service: "schedules", Method: "GET", Path: "/boards/7/x"}, DefaultClass, true, 3 * time.Second},
+		{"general rule", RequestAttributes{Service: "other", Method: "PUT", Path: "/"}, "bulk", true, 3 * time.Second},
+		{"unsafe method", RequestAttributes{Service: "schedules", Method: "POST", Path: "/boards/7"}, DefaultClass, false, 3 * time.Second},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			p := s.Classify(tc.request)
+			is.Equal(p.Class.Name, tc.class)
+			is.Equal(p.Idempotent, tc.idempotent)
+			is.Equal(p.Timeout, tc.timeout)
+			is.Equal(p.Attempts, 32)
+		})
+	}
+	rule, leaving := s.IsLeaving(TargetAttributes{Labels: map[string]string{"rack": "7"}})
+	is.New(t).True(leaving && rule == "old-racks")
+}
+
+func TestFaultsAreReportedTogether(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"unknown field", "kind: service\nname: a\nport: 3\n", []string{"f:3: kind service has no field \"port\" [unknown-field]"}},
+		{"unknown kind", "kind: sevice\nname: a\n", []string{"f:1: kind \"sevice\" is unknown [unknown-kind]"}},
+		{"type", "kind: class\nname: a\nrank: high\n", []string{"f:3: cannot unmarshal !!str `high` into int [syntax]"}},
+		{"two faults", "kind: rule\nname: a\nselector: 'a b'\nclass: gone\n", []string{"[selector]", "f:4: rule/a: class \"gone\" is not configured [reference]"}},
+		{"ranks", "kind: class\nname: a\nrank: 1\n---\nkind: class\nname: b\nrank: 1\n", []string{"rank 1 too [contradiction]"}},
+		{"rules", "kind: rule\nname: a\nselector: x=1\nattempts: 1\n---\nkind: rule\nname: b\nselector: x=1\nattempts: 2\n", []string{"rule a at f:1 picks the same requests"}},
+		{"range", "kind: rule\nname: a\nselector: x=1\nattempts: 0\ntimeout: 0s\n", []string{"timeout 0s is out of range", "attempts 0 is out of range"}},
+		{"no mapping", "- a\n", []string{"document is not a mapping"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			docs, faults := Parse("f", []byte(tc.text))
+			faults = append(faults, Validate(docs, nil)...)
+			for _, want := range tc.want {
+				if !strings.Contains(faults.Error(), want) {
+					t.Errorf("%q is not in\n%s", want, faults.Error())
+				}
+			}
+		})
+	}
+}
+
+func edit(name string, base uint64, rank int) Edit {
+	d := &Document{Kind: KindClass, Name: name, Rank: rank}
+	return Edit{Key: d.Key(), Base: base, Document: d}
+}
+
+func TestFold(t *testing.T) {
+	first := Positioned{Change{ID: "a", Author: "ann", Edits: []Edit{edit("x", 0, 1)}}, 1, time.Time{}}
+	tests := []struct {
+		name     string
+		change   Positioned
+		accepted bool
+		rank     int
+	}{
+		{"against the version in force", Positioned{Change{ID: "b", Edits: []Edit{edit("x", 1, 2)}}, 2, time.Time{}}, true, 2},
+		{"against an older version", Positioned{Change{ID: "b", Edits: []Edit{edit("x", 0, 2)}}, 2, time.Time{}}, false, 1},
+		{"one of two edits conflicts", Positioned{Change{ID: "b", Edits: []Edit{edit("y", 0, 3), edit("x", 0, 2)}}, 2, time.Time{}}, false, 1},
+		{"document out of range", Positioned{Change{ID: "b", Edits: []Edit{edit("x", 1, 99)}}, 2, time.Time{}}, false, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := (*Snapshot)(nil).WithChanges([]Positioned{first, tc.change})
+			v, ok := s.Verdict("b")
+			is.True(ok)
+			is.Equal(v.Accepted, tc.accepted)
+			is.Equal(s.Class("x").Rank, tc.rank)
+			if !tc.accepted && v.Conflicts[0].Message == "" {
+				is.Equal(v.Conflicts[0].Change, "a") // the loser learns who won
+			}
+		})
+	}
+}
+
+// TestFoldIsMonotonic feeds random windows of a log, repeated and out of
+// order, and compares with the fold of the whole prefix.
+func TestFoldIsMonotonic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Positioned
+		n := rapid.IntRange(1, 20).Draw(t, "changes")
+		for i := range n {
+			id := fmt.Sprint(rapid.IntRange(0, n).Draw(t, "id"))
+			base := uint64(rapid.IntRange(0, i).Draw(t, "base"))
+			log = append(log, Positioned{Change{ID: id, Edits: []Edit{edit("x", base, i%MaxRank)}}, uint64(i + 1), time.Time{}})
+		}
+		var s *Snapshot
+		for s.Offset() < uint64(n) {
+			before := s.Offset()
+			from := rapid.IntRange(0, int(before)).Draw(t, "from")
+			to := rapid.IntRange(from+1, n).Draw(t, "to")
+			s = s.WithChanges(log[from:to])
+			if rapid.Bool().Draw(t, "restart") {
+				s = Load(s.Save())
+			}
+			if s.Offset() < before {
+				t.Fatalf("offset went from %d to %d", before, s.Offset())
+			}
+			whole := (*Snapshot)(nil).WithChanges(log[:s.Offset()])
+			if s.Class("x") != whole.Class("x") || len(s.Verdicts()) != len(whole.Verdicts()) {
+				t.Fatalf("at %d: %v and %v", s.Offset(), s.Class("x"), whole.Class("x"))
+			}
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(sampleFile)
+	f.Add("kind: class\nname: [")
+	f.Fuzz(func(t *testing.T, text string) {
+		docs, _ := Parse("f", []byte(text))
+		_ = Validate(docs, nil).Error()
+	})
+}
+
+func BenchmarkClassify(b *testing.B) {
+	var t testing.T
+	s := sampleSnapshot(&t)
+	r := RequestAttributes{Service: "schedules", Method: "GET", Path: "/boards/7"}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Classify(r)
+	}
+}
--- /dev/null
+++ b/wharf/wharfconfig/snapshot.go
@@ -0,0 +1,215 @@
+package wharfconfig
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// KeptVerdicts is how many verdicts a snapshot remembers. A repeated append
+// is recognised for as long, and history reaches back as far.
+const KeptVerdicts = 1024
+
+// Object is a document with its version.
+type Object struct {
+	Version  uint64    `json:"version"`
+	ChangeID string    `json:"change-id"`
+	Document *Document `json:"document"`
+}
+
+// Snapshot is the configuration at one offset of the log. It never changes;
+// WithChanges returns a new one. A nil Snapshot is empty.
+type Snapshot struct {
+	offset   uint64
+	objects  map[ObjectKey]Object
+	verdicts []Verdict
+	known    map[string]struct{}
+	compiled *compiled
+}
+
+// Offset returns the offset of the last change that was folded.
+func (s *Snapshot) Offset() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.offset
+}
+
+// Object returns an object of the snapshot.
+func (s *Snapshot) Object(key ObjectKey) (Object, bool) {
+	if s == nil {
+		return Object{}, false
+	}
+	o, ok := s.objects[key]
+	return o, ok
+}
+
+// Objects returns all objects in the order of their keys.
+func (s *Snapshot) Objects() []Object {
+	if s == nil {
+		return nil
+	}
+	objects := slices.Collect(maps.Values(s.objects))
+	slices.SortFunc(objects, func(a, b Object) int {
+		return cmp.Compare(a.Document.Key().String(), b.Document.Key().String())
+	})
+	return objects
+}
+
+// Verdicts returns the latest decisions, oldest first.
+func (s *Snapshot) Verdicts() []Verdict {
+	if s == nil {
+		return nil
+	}
+	return s.verdicts
+}
+
+// Verdict returns the decision on a change.
+func (s *Snapshot) Verdict(changeID string) (Verdict, bool) {
+	for _, v := range s.Verdicts() {
+		if v.ChangeID == changeID {
+			return v, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// Positioned is a change with its place in the log.
+type Positioned struct {
+	Change Change
+	Offset uint64
+	Time   time.Time
+}
+
+// WithChanges folds changes in the order of the log. Changes at or below the
+// offset of the snapshot are skipped, so it never goes back.
+func (s *Snapshot) WithChanges(changes []Positioned) *Snapshot {
+	next := s.clone()
+	touched := false
+	for _, p := range changes {
+		if p.Offset <= next.offset {
+			continue
+		}
+		next.offset = p.Offset
+		if _, seen := next.known[p.Change.ID]; seen {
+			continue
+		}
+		verdict := next.decide(p)
+		next.remember(verdict)
+		if verdict.Accepted {
+			next.apply(p)
+			touched = true
+		}
+	}
+	if touched || next.compiled == nil {
+		next.compiled = compile(next.objects)
+	}
+	return next
+}
+
+func (s *Snapshot) clone() *Snapshot {
+	if s == nil {
+		return &Snapshot{objects: map[ObjectKey]Object{}, known: map[string]struct{}{}}
+	}
+	return &Snapshot{
+		offset:   s.offset,
+		objects:  maps.Clone(s.objects),
+		verdicts: slices.Clone(s.verdicts),
+		known:    maps.Clone(s.known),
+		compiled: s.compiled,
+	}
+}
+
+// decide compares each edit with the version in force.
+func (s *Snapshot) decide(p Positioned) Verdict {
+	v := Verdict{
+		ChangeID: p.Change.ID,
+		Author:   p.Change.Author,
+		Note:     p.Change.Note,
+		Offset:   p.Offset,
+		Time:     p.Time,
+	}
+	for _, e := range p.Change.Edits {
+		v.Keys = append(v.Keys, e.Key)
+		current := s.objects[e.Key]
+		if current.Version != e.Base {
+			v.Conflicts = append(v.Conflicts, Conflict{
+				Key: e.Key, Base: e.Base, Current: current.Version, Change: current.ChangeID,
+			})
+			continue
+		}
+		if message := faultOfEdit(e); message != "" {
+			v.Conflicts = append(v.Conflicts, Conflict{Key: e.Key, Base: e.Base, Current: current.Version, Message: message})
+		}
+	}
+	v.Accepted = len(v.Conflicts) == 0
+	return v
+}
+
+// faultOfEdit refuses a document that wharfctl would not have published. Only
+// faults of the document itself count: references may change in between.
+func faultOfEdit(e Edit) string {
+	if e.Deletes() {
+		return ""
+	}
+	if e.Document.Key() != e.Key {
+		return "document and key differ"
+	}
+	if _, ok := fieldsOf(e.Key.Kind); !ok {
+		return "kind is unknown"
+	}
+	v := validator{}
+	v.checkDocument(&Located{Document: *e.Document})
+	for _, f := range v.faults {
+		if f.Code != CodeReference {
+			return f.Message
+		}
+	}
+	return ""
+}
+
+func (s *Snapshot) apply(p Positioned) {
+	for _, e := range p.Change.Edits {
+		if e.Deletes() {
+			delete(s.objects, e.Key)
+			continue
+		}
+		s.objects[e.Key] = Object{Version: p.Offset, ChangeID: p.Change.ID, Document: e.Document}
+	}
+}
+
+func (s *Snapshot) remember(v Verdict) {
+	s.verdicts = append(s.verdicts, v)
+	s.known[v.ChangeID] = struct{}{}
+	for len(s.verdicts) > KeptVerdicts {
+		delete(s.known, s.verdicts[0].ChangeID)
+		s.verdicts = s.verdicts[1:]
+	}
+}
+
+// Saved is the form of a snapshot that is stored and sent.
+type Saved struct {
+	Offset   uint64    `json:"offset"`
+	Objects  []Object  `json:"objects"`
+	Verdicts []Verdict `json:"verdicts"`
+}
+
+// Save returns the stored form.
+func (s *Snapshot) Save() Saved {
+	return Saved{Offset: s.Offset(), Objects: s.Objects(), Verdicts: s.Verdicts()}
+}
+
+// Load rebuilds a snapshot from its stored form.
+func Load(saved Saved) *Snapshot {
+	s := (*Snapshot)(nil).clone()
+	s.offset = saved.Offset
+	for _, o := range saved.Objects {
+		s.objects[o.Document.Key()] = o
+	}
+	for _, v := range saved.Verdicts {
+		s.remember(v)
+	}
+	s.compiled = compile(s.objects)
+	return s
+}
