--- /dev/null
+++ b/wharf/internal/wharfseed/seed.go
@@ -0,0 +1,16 @@
+package wharfseed
+
+import (
+	"flag"
+
+	// The import registers the flag before it is set.
+	_ "pgregory.net/rapid"
+)
+
+const seed = "20261203"
+
+func init() {
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/wharf/wharfadmission/gate.go
@@ -0,0 +1,320 @@
+package wharfadmission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+const (
+	// queuePerSlot is the capacity of the queue, in limits.
+	queuePerSlot = 2
+	// minQueue is the least capacity of the queue.
+	minQueue = 8
+	// standingDelay is the least wait in a window that means a standing queue.
+	standingDelay = 20 * time.Millisecond
+	// judgeWindow is the time between two decisions on queue and level.
+	judgeWindow = 200 * time.Millisecond
+	// latencyWeight smooths the latency that estimates are made from.
+	latencyWeight = 0.1
+	// drainWeight smooths the drain rate.
+	drainWeight = 0.3
+	// drainWindow is the time over which the drain rate is counted.
+	drainWindow = 200 * time.Millisecond
+
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+	// retryJitter is the share by which advice is spread.
+	retryJitter = 0.5
+)
+
+// Refusal ends a request that did not run.
+type Refusal struct {
+	ID      uint64
+	Outcome wharfoutcome.Outcome
+}
+
+// Effects is what the node has to carry out after an event.
+type Effects struct {
+	Run     []uint64
+	Refused []Refusal
+}
+
+// Config configures a gate. The zero Config runs everything at once.
+type Config struct {
+	Limiter Limiter
+	Order   Order
+	// Levels turns the admission level on.
+	Levels bool
+	// Reserves lists the share of the limit that each class keeps from the
+	// less important ones.
+	Reserves []Reserve
+	// Rand spreads the advice on when to come back.
+	Rand *rand.Rand
+}
+
+// Reserve is the share of a limit that is kept from ranks above Rank.
+type Reserve struct {
+	Rank  int
+	Share float64
+}
+
+// Gate decides on the requests of one target. It isn't safe for concurrent
+// use; its owner holds a lock.
+type Gate struct {
+	cfg     Config
+	queue   queue
+	running []Ticket
+	level   Level
+	latency rankLatency
+
+	// shortestWait is the least wait of a request in the present window; the
+	// queue stands when it doesn't come down to nothing.
+	shortestWait time.Duration
+	waitSeen     bool
+	standing     bool
+	refusedFull  bool
+	windowStart  time.Time
+
+	drainStart time.Time
+	drainCount int
+	drainRate  float64
+}
+
+// NewGate returns a gate without requests.
+func NewGate(cfg Config) *Gate {
+	if cfg.Limiter == nil {
+		cfg.Limiter = Unlimited{}
+	}
+	return &Gate{cfg: cfg}
+}
+
+// SetReserves puts new reserves in force.
+func (g *Gate) SetReserves(reserves []Reserve) {
+	g.cfg.Reserves = reserves
+}
+
+// Offer asks for a slot.
+func (g *Gate) Offer(now time.Time, t Ticket) Effects {
+	var fx Effects
+	t.Rank = min(max(t.Rank, 0), rankCount-1)
+	g.turn(now)
+	if !g.canEnd(now, t) {
+		g.refuse(&fx, t.ID, wharfoutcome.ReasonDeadline)
+		return fx
+	}
+	g.queue.push(t)
+	if g.cfg.Levels && !g.level.Admit(t.Priority) {
+		// What the level sheds is the least important of all that waits, which
+		// may be a request that was let in under a higher level.
+		g.dropLast(&fx)
+	}
+	g.fill(now, &fx)
+	g.shed(&fx)
+	return fx
+}
+
+// Finish ends a request that ran.
+func (g *Gate) Finish(now time.Time, id uint64, latency time.Duration, result Result) Effects {
+	var fx Effects
+	for i, t := range g.running {
+		if t.ID != id {
+			continue
+		}
+		saturated := len(g.running) >= g.cfg.Limiter.Limit() || g.queue.len() > 0
+		end := len(g.running) - 1
+		g.running[i] = g.running[end]
+		g.running = g.running[:end]
+		g.observe(now, Sample{Rank: t.Rank, Latency: latency, Result: result, Saturated: saturated})
+		break
+	}
+	g.turn(now)
+	g.fill(now, &fx)
+	g.shed(&fx)
+	return fx
+}
+
+// Withdraw removes a request whose caller went away while it waited.
+func (g *Gate) Withdraw(id uint64) bool {
+	return g.queue.removeID(id)
+}
+
+// Tick drops waiting requests that can't end in time any more.
+func (g *Gate) Tick(now time.Time) Effects {
+	var fx Effects
+	g.turn(now)
+	g.fill(now, &fx)
+	return fx
+}
+
+// Load is what senders are told of the target.
+type Load struct {
+	Running int
+	Queued  int
+	Limit   int
+	Level   Priority
+	// LowestRank is the largest rank that runs or waits, -1 if idle.
+	LowestRank int
+}
+
+// Load returns the present load.
+func (g *Gate) Load() Load {
+	l := Load{
+		Running:    len(g.running),
+		Queued:     g.queue.len(),
+		Limit:      g.cfg.Limiter.Limit(),
+		Level:      LevelOpen,
+		LowestRank: g.queue.lowestRank(),
+	}
+	if g.cfg.Levels {
+		l.Level = g.level.Threshold()
+	}
+	for _, t := range g.running {
+		l.LowestRank = max(l.LowestRank, t.Rank)
+	}
+	return l
+}
+
+// RetryAfter advises a caller when a slot is likely, from the drain rate.
+func (g *Gate) RetryAfter() time.Duration {
+	advice := minRetryAfter
+	if g.drainRate > 0 {
+		seconds := float64(g.queue.len()+1) / g.drainRate
+		advice = time.Duration(seconds * float64(time.Second))
+	}
+	advice = min(max(advice, minRetryAfter), maxRetryAfter)
+	if g.cfg.Rand == nil {
+		return advice
+	}
+	return advice + time.Duration(g.cfg.Rand.Float64()*retryJitter*float64(advice))
+}
+
+func (g *Gate) observe(now time.Time, s Sample) {
+	g.cfg.Limiter.Observe(now, s)
+	if s.Result != Answered {
+		return
+	}
+	g.latency.smooth(s.Rank, s.Latency.Seconds(), latencyWeight)
+	g.level.Drained()
+	g.drainCount++
+	g.measureDrain(now)
+}
+
+func (g *Gate) measureDrain(now time.Time) {
+	if g.drainStart.IsZero() {
+		g.drainStart = now
+		return
+	}
+	elapsed := now.Sub(g.drainStart)
+	if elapsed < drainWindow {
+		return
+	}
+	rate := float64(g.drainCount) / elapsed.Seconds()
+	if g.drainRate == 0 {
+		g.drainRate = rate
+	}
+	g.drainRate += drainWeight * (rate - g.drainRate)
+	g.drainStart = now
+	g.drainCount = 0
+}
+
+// turn ends the window in which the queue is judged.
+func (g *Gate) turn(now time.Time) {
+	if g.windowStart.IsZero() {
+		g.windowStart = now
+	}
+	if now.Sub(g.windowStart) < judgeWindow {
+		return
+	}
+	if !g.waitSeen && g.queue.len() > 0 {
+		// Nothing left the queue in the window: everything waited longer.
+		g.shortestWait = judgeWindow
+	}
+	g.standing = g.shortestWait > standingDelay
+	if g.cfg.Levels {
+		g.level.Update(g.standing || g.refusedFull)
+	}
+	g.windowStart = now
+	g.shortestWait = 0
+	g.waitSeen = false
+	g.refusedFull = false
+}
+
+// fill starts waiting requests while the limit allows.
+func (g *Gate) fill(now time.Time, fx *Effects) {
+	for g.queue.len() > 0 {
+		i := g.queue.first(g.ranking())
+		t := g.queue.tickets[i]
+		if !g.canEnd(now, t) {
+			g.queue.remove(i)
+			g.refuse(fx, t.ID, wharfoutcome.ReasonDeadline)
+			continue
+		}
+		if len(g.running) >= g.limitFor(t.Rank) {
+			return
+		}
+		g.queue.remove(i)
+		g.running = append(g.running, t)
+		g.noteWait(now.Sub(t.Arrived))
+		fx.Run = append(fx.Run, t.ID)
+	}
+}
+
+func (g *Gate) noteWait(wait time.Duration) {
+	if !g.waitSeen || wait < g.shortestWait {
+		g.shortestWait = wait
+	}
+	g.waitSeen = true
+}
+
+// shed refuses the least important waiting requests beyond the capacity.
+func (g *Gate) shed(fx *Effects) {
+	capacity := max(queuePerSlot*g.cfg.Limiter.Limit(), minQueue)
+	for g.queue.len() > capacity {
+		g.refusedFull = true
+		g.dropLast(fx)
+	}
+}
+
+func (g *Gate) dropLast(fx *Effects) {
+	t := g.queue.remove(g.queue.last(g.ranking()))
+	g.refuse(fx, t.ID, wharfoutcome.ReasonOverload)
+}
+
+func (g *Gate) ranking() ranking {
+	return ranking{order: g.cfg.Order, standing: g.standing}
+}
+
+// limitFor returns the part of the limit that a rank may fill.
+func (g *Gate) limitFor(rank int) int {
+	limit := g.cfg.Limiter.Limit()
+	share := 1.0
+	for _, r := range g.cfg.Reserves {
+		if r.Rank < rank {
+			share -= r.Share
+		}
+	}
+	if share >= 1 {
+		return limit
+	}
+	return max(int(share*float64(limit)), 1)
+}
+
+// canEnd reports whether a request can still be answered in time. An idle
+// target always gets a request, so that a wrong estimate mends itself.
+func (g *Gate) canEnd(now time.Time, t Ticket) bool {
+	if !t.Deadline.After(now) {
+		return false
+	}
+	if len(g.running) == 0 {
+		return true
+	}
+	estimate := time.Duration(g.latency[t.Rank] * float64(time.Second))
+	return now.Add(estimate).Before(t.Deadline)
+}
+
+func (g *Gate) refuse(fx *Effects, id uint64, reason wharfoutcome.Reason) {
+	outcome := wharfoutcome.Refuse(reason).WithRetryAfter(g.RetryAfter())
+	fx.Refused = append(fx.Refused, Refusal{ID: id, Outcome: outcome})
+}
--- /dev/null
+++ b/wharf/wharfadmission/gate_test.go
@@ -0,0 +1,201 @@
+package wharfadmission
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "ragwortwharf.dev/wharf/internal/wharfseed"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+var epoch = time.Unix(0, 0)
+
+type fixedLimit int
+
+func (f fixedLimit) Limit() int              { return int(f) }
+func (fixedLimit) Observe(time.Time, Sample) {}
+
+// witness drives a gate and checks what must hold after each event.
+type witness struct {
+	gate    *Gate
+	limit   int
+	waiting map[uint64]Ticket
+	running map[uint64]Ticket
+	ended   int
+}
+
+var errInvariant = errors.New("invariant broken")
+
+func newWitness(order Order, levels bool, limit int) *witness {
+	return &witness{
+		gate: NewGate(Config{
+			Limiter: fixedLimit(limit), Order: order, Levels: levels,
+			Reserves: []Reserve{{Rank: 0, Share: 0.2}},
+			Rand:     rand.New(rand.NewPCG(1, 2)),
+		}),
+		limit:   limit,
+		waiting: map[uint64]Ticket{},
+		running: map[uint64]Ticket{},
+	}
+}
+
+func (w *witness) apply(now time.Time, fx Effects) error {
+	for _, id := range fx.Run {
+		t, ok := w.waiting[id]
+		if !ok || !t.Deadline.After(now) {
+			return fmt.Errorf("%w: %d ran without waiting or after its deadline", errInvariant, id)
+		}
+		delete(w.waiting, id)
+		w.running[id] = t
+	}
+	for _, r := range fx.Refused {
+		t, ok := w.waiting[r.ID]
+		if !ok {
+			return fmt.Errorf("%w: %d ended twice", errInvariant, r.ID)
+		}
+		delete(w.waiting, r.ID)
+		w.ended++
+		if r.Outcome.RetryAfter <= 0 || r.Outcome.Kind != wharfoutcome.NotRun {
+			return fmt.Errorf("%w: %d was refused with %v", errInvariant, r.ID, r.Outcome)
+		}
+		for _, other := range w.waiting {
+			if r.Outcome.Reason == wharfoutcome.ReasonOverload && other.Rank > t.Rank {
+				return fmt.Errorf("%w: rank %d was shed while rank %d waits", errInvariant, t.Rank, other.Rank)
+			}
+		}
+	}
+	if len(w.running) > w.limit {
+		return fmt.Errorf("%w: %d run under a limit of %d", errInvariant, len(w.running), w.limit)
+	}
+	if got := w.gate.Load(); got.Running != len(w.running) || got.Queued != len(w.waiting) {
+		return fmt.Errorf("%w: %+v with %d running and %d waiting", errInvariant, got, len(w.running), len(w.waiting))
+	}
+	return nil
+}
+
+func (w *witness) someRunning() (uint64, bool) {
+	least, found := uint64(0), false
+	for id := range w.running {
+		if !found || id < least {
+			least, found = id, true
+		}
+	}
+	return least, found
+}
+
+// step draws one event and checks its effects.
+func (w *witness) step(t *rapid.T, i int, now time.Time) error {
+	switch rapid.IntRange(0, 5).Draw(t, "event") {
+	case 0:
+		id, ok := w.someRunning()
+		if !ok {
+			return nil
+		}
+		delete(w.running, id)
+		w.ended++
+		latency := time.Duration(rapid.IntRange(1, 200).Draw(t, "latency")) * time.Millisecond
+		return w.apply(now, w.gate.Finish(now, id, latency, Answered))
+	case 1:
+		return w.apply(now, w.gate.Tick(now))
+	default:
+		rank := rapid.IntRange(0, 3).Draw(t, "rank")
+		ticket := Ticket{
+			ID: uint64(i), Rank: rank, Depth: rapid.IntRange(0, 3).Draw(t, "depth"),
+			Priority: PriorityOf(rank, uint64(rapid.IntRange(0, 127).Draw(t, "hash"))),
+			Arrived:  now,
+			Deadline: now.Add(time.Duration(rapid.IntRange(-5, 1000).Draw(t, "left")) * time.Millisecond),
+		}
+		w.waiting[ticket.ID] = ticket
+		return w.apply(now, w.gate.Offer(now, ticket))
+	}
+}
+
+func drive(t *rapid.T, order Order) error {
+	w := newWitness(order, rapid.Bool().Draw(t, "levels"), rapid.IntRange(1, 6).Draw(t, "limit"))
+	now := epoch
+	for i := range rapid.IntRange(1, 120).Draw(t, "events") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+		if err := w.step(t, i, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestGateInvariants(t *testing.T) {
+	for _, order := range []Order{Adaptive, FIFO} {
+		t.Run(fmt.Sprint(order), rapid.MakeCheck(func(t *rapid.T) {
+			if err := drive(t, order); err != nil {
+				t.Fatal(err)
+			}
+		}))
+	}
+}
+
+// TestArrivalOrderBreaksInvariant shows that the property above has teeth.
+func TestArrivalOrderBreaksInvariant(t *testing.T) {
+	is := is.New(t)
+	w := newWitness(Arrival, false, 1)
+	var err error
+	for i := range 20 {
+		ticket := Ticket{ID: uint64(i), Rank: 3, Arrived: epoch.Add(time.Duration(i)), Deadline: epoch.Add(time.Hour)}
+		if i == 19 {
+			ticket.Rank = 0
+		}
+		w.waiting[ticket.ID] = ticket
+		err = errors.Join(err, w.apply(epoch, w.gate.Offer(epoch, ticket)))
+	}
+	is.True(errors.Is(err, errInvariant))
+}
+
+func TestDeepWorkGoesFirst(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Config{Limiter: fixedLimit(1)})
+	deadline := epoch.Add(time.Minute)
+	g.Offer(epoch, Ticket{ID: 1, Deadline: deadline, Arrived: epoch})
+	g.Offer(epoch, Ticket{ID: 2, Depth: 0, Deadline: deadline, Arrived: epoch})
+	g.Offer(epoch, Ticket{ID: 3, Depth: 4, Deadline: deadline, Arrived: epoch.Add(1)})
+	is.Equal(g.Finish(epoch, 1, time.Millisecond, Answered).Run, []uint64{3})
+}
+
+func TestReserveStaysOpen(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Config{Limiter: fixedLimit(10), Reserves: []Reserve{{Rank: 0, Share: 0.3}}})
+	ran := 0
+	for i := range 20 {
+		ran += len(g.Offer(epoch, Ticket{ID: uint64(i), Rank: 5, Deadline: epoch.Add(time.Second)}).Run)
+	}
+	is.Equal(ran, 7)
+	is.Equal(len(g.Offer(epoch, Ticket{ID: 99, Rank: 0, Deadline: epoch.Add(time.Second)}).Run), 1)
+}
+
+func TestRetryAfterFollowsDrainRate(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Config{Limiter: fixedLimit(1)})
+	now := epoch
+	for i := range 40 {
+		g.Offer(now, Ticket{ID: uint64(i), Deadline: now.Add(time.Second)})
+		now = now.Add(100 * time.Millisecond)
+		g.Finish(now, uint64(i), 100*time.Millisecond, Answered)
+	}
+	// Ten requests a second drain; with nothing waiting a slot is 100 ms away.
+	advice := g.RetryAfter()
+	is.True(advice > 80*time.Millisecond && advice < 130*time.Millisecond)
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := NewGate(Config{Limiter: NewAIMD(100), Levels: true, Rand: rand.New(rand.NewPCG(1, 2))})
+	b.ReportAllocs()
+	now := epoch
+	for i := uint64(0); b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		g.Offer(now, Ticket{ID: i, Priority: PriorityOf(1, i), Deadline: now.Add(time.Second)})
+		g.Finish(now, i, time.Millisecond, Answered)
+	}
+}
--- /dev/null
+++ b/wharf/wharfadmission/level.go
@@ -0,0 +1,92 @@
+package wharfadmission
+
+const (
+	// bucketsPerRank is how finely a level divides the user requests of a rank.
+	bucketsPerRank = 128
+	// LevelOpen admits everything.
+	LevelOpen = Priority(rankCount*bucketsPerRank - 1)
+	// firstOpenStep is by how many buckets a level opens after an overload; it
+	// doubles with each calm window.
+	firstOpenStep = 8
+	// drainMargin is the share of the drain rate that a lowered level admits.
+	drainMargin = 0.95
+)
+
+// Priority packs class and user request into one number; lower is more
+// important.
+type Priority uint16
+
+// PriorityOf returns the priority of a user request in a class.
+func PriorityOf(rank int, requestHash uint64) Priority {
+	rank = min(max(rank, 0), rankCount-1)
+	return Priority(rank*bucketsPerRank) + Priority(requestHash%bucketsPerRank)
+}
+
+// Rank returns the rank that a priority belongs to.
+func (p Priority) Rank() int {
+	return int(p) / bucketsPerRank
+}
+
+// Level is an admission level: requests with a priority above it are refused.
+// It comes down at once to what the target can drain and opens gradually. The
+// zero Level is open.
+type Level struct {
+	// closed counts from LevelOpen down, so that the zero value is open.
+	closed   Priority
+	step     Priority
+	arrivals [LevelOpen + 1]uint16
+	drained  int
+}
+
+// Threshold returns the largest priority that is admitted.
+func (l *Level) Threshold() Priority {
+	return LevelOpen - l.closed
+}
+
+// Admit counts an arrival and reports whether the level lets it pass.
+func (l *Level) Admit(p Priority) bool {
+	if l.arrivals[p] < ^uint16(0) {
+		l.arrivals[p]++
+	}
+	return p <= l.Threshold()
+}
+
+// Drained counts a request that the target finished.
+func (l *Level) Drained() {
+	l.drained++
+}
+
+// Update ends a window and moves the threshold.
+func (l *Level) Update(overloaded bool) {
+	if overloaded {
+		l.lower()
+	} else {
+		l.open()
+	}
+	l.arrivals = [LevelOpen + 1]uint16{}
+	l.drained = 0
+}
+
+// lower moves the threshold to where the admitted arrivals match the drain.
+func (l *Level) lower() {
+	l.step = 0
+	allowed := int(drainMargin * float64(l.drained))
+	admitted := 0
+	next := Priority(0)
+	for p := Priority(0); p <= l.Threshold(); p++ {
+		admitted += int(l.arrivals[p])
+		if admitted > allowed {
+			break
+		}
+		next = p
+	}
+	l.closed = LevelOpen - next
+}
+
+func (l *Level) open() {
+	if l.closed == 0 {
+		return
+	}
+	l.step = max(2*l.step, firstOpenStep)
+	l.closed -= min(l.step, l.closed)
+}
--- a/wharf/wharfbudget/budget_test.go
+++ b/wharf/wharfbudget/budget_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "ragwortwharf.dev/wharf/internal/wharfseed"
 )
 
 // handDown decides how many attempts one attempt hands down.
--- a/wharf/wharfconfig/config_test.go
+++ b/wharf/wharfconfig/config_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "ragwortwharf.dev/wharf/internal/wharfseed"
 )
 
 const sampleFile = `
--- /dev/null
+++ b/wharf/wharfhome/keys.go
@@ -0,0 +1,374 @@
+package wharfhome
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+// State is how far a key has come at one home.
+type State uint8
+
+// States of a key.
+const (
+	// Absent means that the home knows nothing of the key.
+	Absent State = iota
+	// Waiting means that the request was taken but not yet dispatched.
+	Waiting
+	// Running means that the target has the request.
+	Running
+	// Done means that the target answered.
+	Done
+	// Lost means that the request was dispatched and its end is not known.
+	Lost
+	// Closed means that the key never runs here.
+	Closed
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"absent", "waiting", "running", "done", "lost", "closed"}[min(s, Closed)]
+}
+
+// KeyID identifies a key. Keys of different callers never meet.
+type KeyID struct {
+	Service string
+	Caller  string
+	Key     string
+}
+
+func (id KeyID) hash() uint64 {
+	return xxhash.Sum64String(id.Service + "\x00" + id.Caller + "\x00" + id.Key)
+}
+
+// Answer is what is kept of the answer of a target.
+type Answer struct {
+	Status  int
+	Headers []AnswerHeader
+	Body    []byte
+	// Whole is false if the body was too large to keep.
+	Whole bool
+}
+
+// AnswerHeader is one header of an answer.
+type AnswerHeader struct {
+	Name   string
+	Values []string
+}
+
+// Entry is what a home remembers of a key.
+type Entry struct {
+	State       State
+	Fingerprint uint64
+	Answer      *Answer
+	// Changed is when the entry came into its state.
+	Changed time.Time
+}
+
+// Limits of the memory of Keys.
+const (
+	// MaxKeptBody is the largest body that is kept, in bytes.
+	MaxKeptBody = 16 << 10
+	keyShards   = 32
+	// maxKeysPerShard and maxBytesPerShard bound one shard.
+	maxKeysPerShard  = 2048
+	maxBytesPerShard = 1 << 20
+	// entryBytes is the memory of an entry without its answer.
+	entryBytes = 256
+)
+
+// Keys are the records of one home. They are never forgotten before the
+// horizon of resends has passed; when they are full, new keys are refused.
+// The zero Keys is empty.
+type Keys struct {
+	shards [keyShards]keyShard
+}
+
+type keyShard struct {
+	mu      sync.Mutex
+	entries map[KeyID]Entry
+	callers map[string]int
+	bytes   int
+}
+
+func (k *Keys) shard(id KeyID) *keyShard {
+	return &k.shards[id.hash()%keyShards]
+}
+
+// Step is what the home does with a request for a key.
+type Step uint8
+
+// Steps of a home.
+const (
+	// Take means that the key is new and now waiting.
+	Take Step = iota
+	// Join means that the request is under way; the caller awaits its end.
+	Join
+	// Replay means that the kept answer is the answer.
+	Replay
+	// Refuse means that the outcome is the answer.
+	Refuse
+)
+
+// Decision is the decision on a request for a key.
+type Decision struct {
+	Step    Step
+	Answer  *Answer
+	Outcome wharfoutcome.Outcome
+}
+
+// Begin decides on a request for a key.
+func (k *Keys) Begin(now time.Time, id KeyID, fingerprint uint64) Decision {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[id]
+	if !known {
+		if s.full(id.Caller) {
+			return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyTableFull))
+		}
+		s.put(id, Entry{State: Waiting, Fingerprint: fingerprint, Changed: now})
+		return Decision{Step: Take}
+	}
+	if e.State != Closed && e.Fingerprint != fingerprint {
+		return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyMismatch))
+	}
+	return e.decide()
+}
+
+func (e Entry) decide() Decision {
+	switch {
+	case e.State == Waiting || e.State == Running:
+		return Decision{Step: Join}
+	case e.State == Done && e.Answer != nil && e.Answer.Whole:
+		return Decision{Step: Replay, Answer: e.Answer}
+	case e.State == Done:
+		o := wharfoutcome.Done()
+		o.Reason = wharfoutcome.ReasonAnswerNotKept
+		return refusal(o)
+	case e.State == Closed:
+		return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyClosed))
+	default:
+		return refusal(wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost))
+	}
+}
+
+func refusal(o wharfoutcome.Outcome) Decision {
+	return Decision{Step: Refuse, Outcome: o}
+}
+
+// Dispatch moves a waiting key to running. It is false if the key was closed
+// meanwhile, and then the request must not reach the target.
+func (k *Keys) Dispatch(now time.Time, id KeyID) bool {
+	return k.advance(now, id, Waiting, Entry{State: Running})
+}
+
+// Finish records the answer of the target.
+func (k *Keys) Finish(now time.Time, id KeyID, answer *Answer) {
+	if answer != nil && len(answer.Body) > MaxKeptBody {
+		answer = &Answer{Status: answer.Status}
+	}
+	k.advance(now, id, Running, Entry{State: Done, Answer: answer})
+}
+
+// Lose records that a dispatched request ended without an answer.
+func (k *Keys) Lose(now time.Time, id KeyID) {
+	k.advance(now, id, Running, Entry{State: Lost})
+}
+
+// advance changes the state of an entry if it is the expected one.
+func (k *Keys) advance(now time.Time, id KeyID, from State, to Entry) bool {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[id]
+	if !known || e.State != from {
+		return false
+	}
+	to.Fingerprint, to.Changed = e.Fingerprint, now
+	if to.Answer != nil && s.bytes+len(to.Answer.Body) > maxBytesPerShard {
+		to.Answer = &Answer{Status: to.Answer.Status}
+	}
+	s.put(id, to)
+	return true
+}
+
+// Abandon forgets a key that was refused before its dispatch, so that a resend
+// may run. A key that was closed meanwhile stays closed.
+func (k *Keys) Abandon(id KeyID) {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, known := s.entries[id]; known && e.State == Waiting {
+		s.drop(id)
+	}
+}
+
+// Close answers a question about a key, and makes sure that a key that hasn't
+// been dispatched never will be. The entry returned is Absent if the key has
+// not run here and never will.
+func (k *Keys) Close(now time.Time, id KeyID) Entry {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[id]
+	if known && e.State != Waiting && e.State != Closed {
+		return e
+	}
+	s.put(id, Entry{State: Closed, Changed: now})
+	return Entry{State: Absent}
+}
+
+// Learn takes the entry of an earlier home for a key that waits here. It
+// returns what to do with the request now.
+func (k *Keys) Learn(now time.Time, id KeyID, earlier Entry) Decision {
+	if earlier.State == Absent || earlier.State == Closed {
+		return Decision{Step: Take}
+	}
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if earlier.State != Done {
+		// The request runs elsewhere, or its end is lost. The next resend asks
+		// again, so nothing is kept here.
+		s.drop(id)
+		return refusal(wharfoutcome.Uncertain(wharfoutcome.ReasonHomeMoved))
+	}
+	mismatch := s.entries[id].Fingerprint != earlier.Fingerprint
+	earlier.Changed = now
+	s.put(id, earlier)
+	if mismatch {
+		return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyMismatch))
+	}
+	return earlier.decide()
+}
+
+// Expire forgets keys whose last change is older than the horizon.
+func (k *Keys) Expire(now time.Time, horizon time.Duration) int {
+	n := 0
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		for id, e := range s.entries {
+			ended := e.State == Done || e.State == Lost || e.State == Closed
+			if ended && now.Sub(e.Changed) > horizon {
+				s.drop(id)
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Exported is an entry with its key, as it is handed over.
+type Exported struct {
+	ID    KeyID
+	Entry Entry
+}
+
+// Export returns the entries that the next home has to know.
+func (k *Keys) Export() []Exported {
+	var out []Exported
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		for id, e := range s.entries {
+			if e.State == Done || e.State == Lost || e.State == Running {
+				out = append(out, Exported{id, e})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Import takes an entry that an earlier home hands over. What is known here
+// stays, because it is newer.
+func (k *Keys) Import(x Exported) bool {
+	s := k.shard(x.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[x.ID]
+	if known && e.State != Waiting {
+		return e.State != Closed
+	}
+	if x.Entry.State == Running {
+		x.Entry.State = Lost
+	}
+	s.put(x.ID, x.Entry)
+	return true
+}
+
+// Len returns the number of keys.
+func (k *Keys) Len() int {
+	n := 0
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		n += len(s.entries)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+func (s *keyShard) put(id KeyID, e Entry) {
+	if s.entries == nil {
+		s.entries = make(map[KeyID]Entry)
+		s.callers = make(map[string]int)
+	}
+	old, known := s.entries[id]
+	if !known {
+		s.callers[id.Caller]++
+	}
+	s.bytes += answerBytes(e) - answerBytes(old)
+	s.entries[id] = e
+}
+
+func (s *keyShard) drop(id KeyID) {
+	e, known := s.entries[id]
+	if !known {
+		return
+	}
+	s.bytes -= answerBytes(e)
+	delete(s.entries, id)
+	s.callers[id.Caller]--
+	if s.callers[id.Caller] == 0 {
+		delete(s.callers, id.Caller)
+	}
+}
+
+func answerBytes(e Entry) int {
+	if e.Answer == nil {
+		return 0
+	}
+	return len(e.Answer.Body)
+}
+
+// full reports whether a caller may add no key: the shard is full, or it is
+// half full and the caller has more than its share.
+func (s *keyShard) full(caller string) bool {
+	if len(s.entries) >= maxKeysPerShard {
+		return true
+	}
+	if len(s.entries) < maxKeysPerShard/2 {
+		return false
+	}
+	share := maxKeysPerShard / (len(s.callers) + 1)
+	return s.callers[caller] >= share
+}
+
+// Bytes returns an estimate of the memory in use, in bytes.
+func (k *Keys) Bytes() int {
+	n := 0
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		n += s.bytes + len(s.entries)*entryBytes
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/wharf/wharfhome/keys_test.go
@@ -0,0 +1,135 @@
+package wharfhome
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func TestKeyStates(t *testing.T) {
+	id := KeyID{"bookings", "caller", "k"}
+	answer := &Answer{Status: 201, Body: []byte("slot 7"), Whole: true}
+	tests := []struct {
+		name    string
+		prepare func(k *Keys)
+		body    uint64
+		step    Step
+		outcome wharfoutcome.Outcome
+	}{
+		{"new key", func(*Keys) {}, 1, Take, wharfoutcome.Outcome{}},
+		{"resend while it waits", func(k *Keys) { k.Begin(epoch, id, 1) }, 1, Join, wharfoutcome.Outcome{}},
+		{"resend while it runs", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Dispatch(epoch, id)
+		}, 1, Join, wharfoutcome.Outcome{}},
+		{"resend after the answer", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Dispatch(epoch, id)
+			k.Finish(epoch, id, answer)
+		}, 1, Replay, wharfoutcome.Outcome{}},
+		{"answer too large to keep", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Dispatch(epoch, id)
+			k.Finish(epoch, id, &Answer{Body: make([]byte, MaxKeptBody+1), Whole: true})
+		}, 1, Refuse, wharfoutcome.Outcome{Kind: wharfoutcome.Completed, Reason: wharfoutcome.ReasonAnswerNotKept}},
+		{"other body", func(k *Keys) { k.Begin(epoch, id, 1) }, 2, Refuse, wharfoutcome.Refuse(wharfoutcome.ReasonKeyMismatch)},
+		{"answer lost", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Dispatch(epoch, id)
+			k.Lose(epoch, id)
+		}, 1, Refuse, wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)},
+		{"closed before it came", func(k *Keys) { k.Close(epoch, id) }, 1, Refuse, wharfoutcome.Refuse(wharfoutcome.ReasonKeyClosed)},
+		{"refused before dispatch", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Abandon(id)
+		}, 1, Take, wharfoutcome.Outcome{}},
+		{"expired", func(k *Keys) {
+			k.Begin(epoch, id, 1)
+			k.Dispatch(epoch, id)
+			k.Finish(epoch, id, answer)
+			k.Expire(epoch.Add(time.Hour), time.Minute)
+		}, 1, Take, wharfoutcome.Outcome{}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var k Keys
+			tc.prepare(&k)
+			d := k.Begin(epoch, id, tc.body)
+			is.Equal(d.Step, tc.step)
+			is.Equal(d.Outcome, tc.outcome)
+			if d.Step == Replay {
+				is.Equal(d.Answer, answer)
+			}
+		})
+	}
+}
+
+func TestCloseStopsWaitingKey(t *testing.T) {
+	is := is.New(t)
+	var k Keys
+	id := KeyID{"s", "c", "k"}
+	k.Begin(epoch, id, 1)
+	is.Equal(k.Close(epoch, id).State, Absent)
+	is.True(!k.Dispatch(epoch, id))
+}
+
+func TestCloseLeavesRunningKey(t *testing.T) {
+	is := is.New(t)
+	var k Keys
+	id := KeyID{"s", "c", "k"}
+	k.Begin(epoch, id, 1)
+	is.True(k.Dispatch(epoch, id))
+	is.Equal(k.Close(epoch, id).State, Running)
+	k.Finish(epoch, id, &Answer{Status: 200, Whole: true})
+	is.Equal(k.Close(epoch, id).State, Done)
+}
+
+func TestOneCallerCannotFillTheTable(t *testing.T) {
+	is := is.New(t)
+	var k Keys
+	refused := 0
+	for i := range 2 * keyShards * maxKeysPerShard {
+		if k.Begin(epoch, KeyID{"s", "greedy", fmt.Sprint(i)}, 1).Step == Refuse {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	first := k.Begin(epoch, KeyID{"s", "greedy", "0"}, 1)
+	is.Equal(first.Step, Join) // nothing was forgotten early
+	is.Equal(k.Begin(epoch, KeyID{"s", "other", "0"}, 1).Step, Take)
+	is.True(k.Bytes() <= keyShards*(maxBytesPerShard+maxKeysPerShard*entryBytes))
+}
+
+func TestImportKeepsNewer(t *testing.T) {
+	is := is.New(t)
+	var from, to Keys
+	id := KeyID{"s", "c", "k"}
+	from.Begin(epoch, id, 1)
+	from.Dispatch(epoch, id)
+	exported := from.Export()
+	is.Equal(len(exported), 1)
+	is.True(to.Import(exported[0]))
+	is.Equal(to.Begin(epoch, id, 1).Outcome.Kind, wharfoutcome.Unknown) // it still ran when it was handed over
+}
+
+func BenchmarkKeys(b *testing.B) {
+	b.ReportAllocs()
+	var k Keys
+	answer := &Answer{Status: 200, Whole: true}
+	for i := 0; b.Loop(); i++ {
+		id := KeyID{"s", "c", fmt.Sprint(i)}
+		k.Begin(epoch, id, 1)
+		k.Dispatch(epoch, id)
+		k.Finish(epoch, id, answer)
+		if i%10_000 == 0 {
+			k.Expire(epoch.Add(time.Hour), time.Minute)
+		}
+	}
+}
--- /dev/null
+++ b/wharf/wharfhome/table.go
@@ -0,0 +1,278 @@
+package wharfhome
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// RecordKind names a kind of ownership record.
+type RecordKind string
+
+// Kinds of ownership records.
+const (
+	// Announce makes a node an owner of keys of its services. It ends the
+	// ownership of earlier incarnations.
+	Announce RecordKind = "announce"
+	// Release ends the ownership of a node that still answers for its keys.
+	Release RecordKind = "release"
+	// HandedOver says that a released node gave all its records away.
+	HandedOver RecordKind = "handed-over"
+	// Evict ends the ownership of a node that is gone.
+	Evict RecordKind = "evict"
+)
+
+// Record is an ownership record as it stands in the log.
+type Record struct {
+	Kind        RecordKind `json:"kind"`
+	Node        string     `json:"node"`
+	Incarnation uint64     `json:"incarnation"`
+	Address     string     `json:"address,omitempty"`
+	Services    []string   `json:"services,omitempty"`
+	// By names the operator of an eviction.
+	By string `json:"by,omitempty"`
+}
+
+// Owner is one life of a node that owns keys.
+type Owner struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+// Same reports whether two owners are the same life of a node.
+func (o Owner) Same(other Owner) bool {
+	return o.Node == other.Node && o.Incarnation == other.Incarnation
+}
+
+const (
+	// keptHistory is how long ended epochs are kept. No resend horizon may be
+	// longer.
+	keptHistory = 24 * time.Hour
+	// maxEpochs bounds the epochs that are kept for a service.
+	maxEpochs = 256
+)
+
+// Epoch is a time during which the owners of a service were the same.
+type Epoch struct {
+	Offset uint64    `json:"offset"`
+	Start  time.Time `json:"start"`
+	Owners []Owner   `json:"owners"`
+}
+
+// history lists the epochs of a service, the present one last.
+type history struct {
+	epochs []Epoch
+	// truncated says that epochs were dropped before keptHistory was over.
+	truncated bool
+}
+
+func (h history) present() Epoch {
+	if len(h.epochs) == 0 {
+		return Epoch{}
+	}
+	return h.epochs[len(h.epochs)-1]
+}
+
+// Table is the ownership at one offset of the log. It never changes;
+// WithRecord returns a new one. A nil Table is empty.
+type Table struct {
+	services map[string]history
+	// handed holds the lives whose records were given away.
+	handed map[string]time.Time
+}
+
+// Positioned is an ownership record with its place in the log.
+type Positioned struct {
+	Record Record
+	Offset uint64
+	Time   time.Time
+}
+
+// WithRecords folds ownership records in the order of the log.
+func (t *Table) WithRecords(records []Positioned) *Table {
+	next := &Table{services: map[string]history{}, handed: map[string]time.Time{}}
+	if t != nil {
+		next.services = maps.Clone(t.services)
+		next.handed = maps.Clone(t.handed)
+	}
+	for _, p := range records {
+		next.fold(p)
+	}
+	return next
+}
+
+func (t *Table) fold(p Positioned) {
+	r := p.Record
+	owner := Owner{Node: r.Node, Incarnation: r.Incarnation, Address: r.Address}
+	switch r.Kind {
+	case Announce:
+		t.announce(p, owner)
+	case Release, Evict:
+		for _, service := range t.named(r) {
+			t.move(service, p, func(owners []Owner) []Owner {
+				return slices.DeleteFunc(owners, owner.Same)
+			})
+		}
+	case HandedOver:
+		t.handed[lifeOf(owner)] = p.Time
+		maps.DeleteFunc(t.handed, func(_ string, at time.Time) bool {
+			return p.Time.Sub(at) > keptHistory
+		})
+	}
+}
+
+// announce sets the services of a life. An older life is refused, so that a
+// node that was replaced can't come back.
+func (t *Table) announce(p Positioned, owner Owner) {
+	for service := range t.services {
+		present := t.services[service].present().Owners
+		stale := slices.ContainsFunc(present, func(o Owner) bool {
+			return o.Node == owner.Node && o.Incarnation > owner.Incarnation
+		})
+		if stale {
+			return
+		}
+	}
+	for service, h := range t.services {
+		listed := slices.ContainsFunc(h.present().Owners, func(o Owner) bool { return o.Node == owner.Node })
+		if listed && !slices.Contains(p.Record.Services, service) {
+			t.move(service, p, func(owners []Owner) []Owner { return without(owners, owner.Node) })
+		}
+	}
+	for _, service := range p.Record.Services {
+		if slices.Contains(t.services[service].present().Owners, owner) {
+			continue
+		}
+		t.move(service, p, func(owners []Owner) []Owner {
+			return append(without(owners, owner.Node), owner)
+		})
+	}
+}
+
+func without(owners []Owner, node string) []Owner {
+	return slices.DeleteFunc(owners, func(o Owner) bool { return o.Node == node })
+}
+
+// named returns the services of a record, or all that its node owns.
+func (t *Table) named(r Record) []string {
+	if len(r.Services) > 0 {
+		return r.Services
+	}
+	return t.OwnedBy(Owner{Node: r.Node, Incarnation: r.Incarnation})
+}
+
+// OwnedBy returns the services that a life owns keys of.
+func (t *Table) OwnedBy(owner Owner) []string {
+	if t == nil {
+		return nil
+	}
+	var out []string
+	for service, h := range t.services {
+		if slices.ContainsFunc(h.present().Owners, owner.Same) {
+			out = append(out, service)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// move begins a new epoch of a service, unless nothing changes.
+func (t *Table) move(service string, p Positioned, change func([]Owner) []Owner) {
+	h := t.services[service]
+	before := h.present().Owners
+	after := change(slices.Clone(before))
+	if slices.Equal(before, after) {
+		return
+	}
+	epochs := append(slices.Clone(h.epochs), Epoch{Offset: p.Offset, Start: p.Time, Owners: after})
+	for len(epochs) > 1 && p.Time.Sub(epochs[1].Start) > keptHistory {
+		epochs = epochs[1:]
+	}
+	if len(epochs) > maxEpochs {
+		epochs = epochs[len(epochs)-maxEpochs:]
+		h.truncated = true
+	}
+	t.services[service] = history{epochs: epochs, truncated: h.truncated}
+}
+
+func lifeOf(o Owner) string {
+	return o.Node + "#" + strconv.FormatUint(o.Incarnation, 10)
+}
+
+// Owners returns the present owners of the keys of a service.
+func (t *Table) Owners(service string) []Owner {
+	if t == nil {
+		return nil
+	}
+	return t.services[service].present().Owners
+}
+
+// Owner returns the present home of a key.
+func (t *Table) Owner(service, key string) (Owner, bool) {
+	return rendezvous(t.Owners(service), key)
+}
+
+// rendezvous returns the owner with the highest hash of node and key. The
+// incarnation doesn't count, so a restart moves no key to another node.
+func rendezvous(owners []Owner, key string) (Owner, bool) {
+	var best Owner
+	highest, found := uint64(0), false
+	for _, o := range owners {
+		h := xxhash.Sum64String(o.Node + "\x00" + key)
+		if !found || h > highest {
+			best, highest, found = o, h, true
+		}
+	}
+	return best, found
+}
+
+// SavedService is the stored form of the history of a service.
+type SavedService struct {
+	Service   string  `json:"service"`
+	Epochs    []Epoch `json:"epochs"`
+	Truncated bool    `json:"truncated,omitempty"`
+}
+
+// SavedLife is the stored form of a life whose records were given away.
+type SavedLife struct {
+	Life string    `json:"life"`
+	At   time.Time `json:"at"`
+}
+
+// Saved is the form of a table that is stored and sent.
+type Saved struct {
+	Services []SavedService `json:"services"`
+	Handed   []SavedLife    `json:"handed"`
+}
+
+// Save returns the stored form.
+func (t *Table) Save() Saved {
+	var saved Saved
+	if t == nil {
+		return saved
+	}
+	for _, service := range slices.Sorted(maps.Keys(t.services)) {
+		h := t.services[service]
+		saved.Services = append(saved.Services, SavedService{service, h.epochs, h.truncated})
+	}
+	for _, life := range slices.Sorted(maps.Keys(t.handed)) {
+		saved.Handed = append(saved.Handed, SavedLife{life, t.handed[life]})
+	}
+	return saved
+}
+
+// Load rebuilds a table from its stored form.
+func Load(saved Saved) *Table {
+	t := (*Table)(nil).WithRecords(nil)
+	for _, s := range saved.Services {
+		t.services[s.Service] = history{s.Epochs, s.Truncated}
+	}
+	for _, l := range saved.Handed {
+		t.handed[l.Life] = l.At
+	}
+	return t
+}
--- /dev/null
+++ b/wharf/wharfhome/table_test.go
@@ -0,0 +1,135 @@
+package wharfhome
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+)
+
+const service = "bookings"
+
+var horizon = Horizon{Resend: 10 * time.Minute, Skew: 2 * time.Second, Staleness: 15 * time.Minute}
+
+// at places records in a log, a minute apart.
+func at(records ...Record) []Positioned {
+	out := make([]Positioned, len(records))
+	for i, r := range records {
+		out[i] = Positioned{r, uint64(i + 1), epoch.Add(time.Duration(i) * time.Minute)}
+	}
+	return out
+}
+
+func announced(node string, incarnation uint64) Record {
+	return Record{Kind: Announce, Node: node, Incarnation: incarnation, Services: []string{service}}
+}
+
+// keyOf returns a key whose home among some nodes is the given one.
+func keyOf(node string, nodes ...string) string {
+	var owners []Owner
+	for _, n := range nodes {
+		owners = append(owners, Owner{Node: n})
+	}
+	for i := 0; ; i++ {
+		key := fmt.Sprint("key-", i)
+		if o, _ := rendezvous(owners, key); o.Node == node {
+			return key
+		}
+	}
+}
+
+func TestResolve(t *testing.T) {
+	moved := keyOf("b", "a", "b")
+	tests := []struct {
+		name    string
+		records []Record
+		after   time.Duration
+		key     string
+		owner   string
+		consult int
+		lost    bool
+	}{
+		{"first owner", []Record{announced("a", 1)}, 0, moved, "a", 0, false},
+		{"joined by a second", []Record{announced("a", 1), announced("b", 1)}, 0, moved, "b", 1, false},
+		{"after the horizon, earlier home may be stale", []Record{announced("a", 1), announced("b", 1)}, 20 * time.Minute, moved, "b", 1, false},
+		{"after horizon and staleness", []Record{announced("a", 1), announced("b", 1)}, 26 * time.Minute, moved, "b", 0, false},
+		{"restart, after the horizon", []Record{announced("a", 1), announced("a", 2)}, 11 * time.Minute, moved, "a", 0, false},
+		{"a key that stayed", []Record{announced("a", 1), announced("b", 1)}, 0, keyOf("a", "a", "b"), "a", 0, false},
+		{"restart without hand-over", []Record{announced("a", 1), announced("a", 2)}, 0, moved, "a", 0, true},
+		{"restart after hand-over", []Record{
+			announced("a", 1), announced("b", 1),
+			{Kind: Release, Node: "b", Incarnation: 1}, {Kind: HandedOver, Node: "b", Incarnation: 1},
+		}, 0, moved, "a", 0, false},
+		{"released, not yet handed over", []Record{
+			announced("a", 1), announced("b", 1), {Kind: Release, Node: "b", Incarnation: 1},
+		}, 0, moved, "a", 1, false},
+		{"evicted", []Record{
+			announced("a", 1), announced("b", 1), {Kind: Evict, Node: "b", Incarnation: 1, By: "ops"},
+		}, 0, moved, "a", 1, false},
+		{"older life announces late", []Record{announced("a", 2), announced("a", 1)}, 0, moved, "a", 0, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			records := at(tc.records...)
+			table := Load((*Table)(nil).WithRecords(records).Save())
+			now := records[len(records)-1].Time.Add(tc.after)
+			r, ok := table.Resolve(now, service, tc.key, horizon)
+			is.True(ok)
+			is.Equal(r.Owner.Node, tc.owner)
+			is.Equal(len(r.Consult), tc.consult)
+			is.Equal(r.Lost, tc.lost)
+		})
+	}
+}
+
+func TestNewerKeyNeedsNoQuestion(t *testing.T) {
+	is := is.New(t)
+	table := (*Table)(nil).WithRecords(at(announced("a", 1), announced("a", 2)))
+	move := epoch.Add(time.Minute)
+	for _, tc := range []struct {
+		name  string
+		after time.Duration
+		lost  bool
+	}{
+		{"made long after the move", 10 * time.Second, false},
+		{"made within the skew", time.Second, true},
+		{"made before", -time.Second, true},
+	} {
+		r, ok := table.Resolve(move.Add(time.Minute), service, keyMintedAt(move.Add(tc.after)), horizon)
+		is.True(ok)
+		is.Equal(r.Lost, tc.lost)
+	}
+}
+
+func keyMintedAt(at time.Time) string {
+	var id uuid.UUID
+	ms := uint64(at.UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6], id[8] = 0x70, 0x80
+	return id.String()
+}
+
+func TestServiceLeftByAnnouncement(t *testing.T) {
+	is := is.New(t)
+	table := (*Table)(nil).WithRecords(at(announced("a", 1), Record{Kind: Announce, Node: "a", Incarnation: 1, Services: []string{"other"}}))
+	is.Equal(len(table.Owners(service)), 0)
+	is.Equal(table.OwnedBy(Owner{Node: "a", Incarnation: 1}), []string{"other"})
+}
+
+func TestSavedTableIsTheSame(t *testing.T) {
+	is := is.New(t)
+	table := (*Table)(nil).WithRecords(at(announced("a", 1), announced("b", 1), Record{Kind: HandedOver, Node: "a", Incarnation: 1}))
+	data, err := json.Marshal(table.Save())
+	is.NoErr(err)
+	var saved Saved
+	is.NoErr(json.Unmarshal(data, &saved))
+	again, err := json.Marshal(Load(saved).Save())
+	is.NoErr(err)
+	is.Equal(string(again), string(data))
+}
--- /dev/null
+++ b/wharf/wharfmember/table.go
@@ -0,0 +1,174 @@
+package wharfmember
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of parts that a table is compared by.
+const Buckets = 64
+
+// Digests holds one digest for each bucket of a table.
+type Digests [Buckets]uint64
+
+// Root sums up all buckets.
+func (d *Digests) Root() uint64 {
+	root := uint64(0)
+	for _, b := range d {
+		root = root*0x9e3779b97f4a7c15 + b
+	}
+	return root
+}
+
+// Table holds the entries of all known nodes. It isn't safe for concurrent
+// use; its owner holds a lock. The zero Table is empty.
+type Table struct {
+	members  map[string]Member
+	digests  Digests
+	services map[string]map[string]struct{}
+	domains  map[string][]string
+	version  uint64
+}
+
+// Version changes with each change of the table.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
+// Digests returns the digests of the buckets.
+func (t *Table) Digests() *Digests {
+	return &t.digests
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int {
+	return len(t.members)
+}
+
+// Get returns the entry of a node.
+func (t *Table) Get(node string) (Member, bool) {
+	m, ok := t.members[node]
+	return m, ok
+}
+
+// All returns all entries in the order of their ids.
+func (t *Table) All() []Member {
+	all := slices.Collect(maps.Values(t.members))
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return all
+}
+
+// Merge takes an entry if it is newer than the one at hand.
+func (t *Table) Merge(m Member) bool {
+	if t.members == nil {
+		t.members = map[string]Member{}
+		t.services = map[string]map[string]struct{}{}
+		t.domains = map[string][]string{}
+	}
+	old, known := t.members[m.Node]
+	if known && !m.newer(old) {
+		return false
+	}
+	if known {
+		t.digests[bucketOf(m.Node)] ^= old.digest()
+		t.unlist(old)
+	} else {
+		t.listDomain(m)
+	}
+	t.digests[bucketOf(m.Node)] ^= m.digest()
+	t.members[m.Node] = m
+	t.list(m)
+	t.version++
+	return true
+}
+
+// Forget drops an entry, so that ended nodes don't stay for good.
+func (t *Table) Forget(node string) {
+	old, known := t.members[node]
+	if !known {
+		return
+	}
+	t.digests[bucketOf(node)] ^= old.digest()
+	t.unlist(old)
+	delete(t.members, node)
+	t.domains[old.FailureDomain] = slices.DeleteFunc(t.domains[old.FailureDomain], func(n string) bool { return n == node })
+	t.version++
+}
+
+// Services returns the services that some target announced.
+func (t *Table) Services() []string {
+	return slices.Sorted(maps.Keys(t.services))
+}
+
+// Serving returns the nodes that have a target of a service, in the order of
+// their ids.
+func (t *Table) Serving(service string) []Member {
+	nodes := slices.Sorted(maps.Keys(t.services[service]))
+	members := make([]Member, len(nodes))
+	for i, n := range nodes {
+		members[i] = t.members[n]
+	}
+	return members
+}
+
+// Differing returns the entries in the buckets whose digests differ from those
+// of a peer, at most limit of them, beginning at a bucket that moves with
+// each call so that all are sent in the end.
+func (t *Table) Differing(peer *Digests, from, limit int) []Member {
+	var out []Member
+	for i := range Buckets {
+		b := (from + i) % Buckets
+		if peer[b] == t.digests[b] {
+			continue
+		}
+		out = append(out, t.bucket(b)...)
+		if len(out) >= limit {
+			return out
+		}
+	}
+	return out
+}
+
+func (t *Table) bucket(b int) []Member {
+	var out []Member
+	for node, m := range t.members {
+		if bucketOf(node) == b {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+func (t *Table) list(m Member) {
+	for _, target := range m.Targets {
+		nodes, ok := t.services[target.Service]
+		if !ok {
+			nodes = map[string]struct{}{}
+			t.services[target.Service] = nodes
+		}
+		nodes[m.Node] = struct{}{}
+	}
+}
+
+func (t *Table) unlist(m Member) {
+	for _, target := range m.Targets {
+		delete(t.services[target.Service], m.Node)
+		if len(t.services[target.Service]) == 0 {
+			delete(t.services, target.Service)
+		}
+	}
+}
+
+func (t *Table) listDomain(m Member) {
+	nodes := t.domains[m.FailureDomain]
+	i, _ := slices.BinarySearch(nodes, m.Node)
+	t.domains[m.FailureDomain] = slices.Insert(nodes, i, m.Node)
+}
+
+func bucketOf(node string) int {
+	return int(xxhash.Sum64String(node) % Buckets)
+}
--- /dev/null
+++ b/wharf/wharfquarantine/list_test.go
@@ -0,0 +1,126 @@
+package wharfquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "ragwortwharf.dev/wharf/internal/wharfseed"
+)
+
+var epoch = time.Unix(0, 0)
+
+func TestQuarantine(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(l *List)
+		now    time.Time
+		want   bool
+	}{
+		{"one crash", func(l *List) { l.Crash(epoch, "a", []Fingerprint{1}) }, epoch, false},
+		{"two crashes of one target", func(l *List) {
+			l.Crash(epoch, "a#1", []Fingerprint{1})
+			l.Crash(epoch, "a#2", []Fingerprint{1})
+		}, epoch, true},
+		{"one crash reported twice", func(l *List) {
+			l.Crash(epoch, "a#1", []Fingerprint{1})
+			l.Crash(epoch, "a#1", []Fingerprint{1})
+		}, epoch, false},
+		{"two targets", func(l *List) {
+			l.Crash(epoch, "a", []Fingerprint{1})
+			l.Crash(epoch, "b", []Fingerprint{1})
+		}, epoch, true},
+		{"success in between", func(l *List) {
+			l.Crash(epoch, "a", []Fingerprint{1})
+			l.Succeeded(1)
+			l.Crash(epoch, "b", []Fingerprint{1})
+		}, epoch, false},
+		{"second crash was seen elsewhere", func(l *List) {
+			l.Crash(epoch, "a", []Fingerprint{1})
+			l.Merge(epoch, Entry{Fingerprint: 1, Crashes: []string{"b"}, Expires: epoch.Add(time.Minute)})
+		}, epoch, true},
+		{"after it expired", func(l *List) {
+			l.Crash(epoch, "a", []Fingerprint{1})
+			l.Crash(epoch, "b", []Fingerprint{1})
+		}, epoch.Add(quarantineLife), false},
+		{"old news", func(l *List) {
+			l.Merge(epoch, Entry{Fingerprint: 1, Quarantined: true, Expires: epoch})
+		}, epoch, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var l List
+			tc.events(&l)
+			_, got := l.Quarantined(tc.now, 1)
+			is.New(t).Equal(got, tc.want)
+		})
+	}
+}
+
+// crashRun resends one deadly request at random over targets, and tells all
+// lists of a crash before the next send. It returns the number of crashes.
+func crashRun(t *rapid.T, check func(l *List, now time.Time) bool) int {
+	const nodes = 5
+	var lists [nodes]List
+	crashes := 0
+	now := epoch
+	for range rapid.IntRange(1, 30).Draw(t, "sends") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause")) * time.Millisecond)
+		at := rapid.IntRange(0, nodes-1).Draw(t, "node")
+		if check(&lists[at], now) {
+			continue
+		}
+		crashes++
+		entries := lists[at].Crash(now, fmt.Sprint(at, "#", crashes), []Fingerprint{7})
+		for i := range lists {
+			for _, e := range entries {
+				lists[i].Merge(now, e)
+			}
+		}
+	}
+	return crashes
+}
+
+func TestAtMostTwoCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		crashes := crashRun(t, func(l *List, now time.Time) bool {
+			_, refused := l.Quarantined(now, 7)
+			return refused
+		})
+		if crashes > crashesToQuarantine {
+			t.Fatalf("%d crashes", crashes)
+		}
+	})
+}
+
+// TestWithoutQuarantineManyCrash shows that the property above has teeth.
+func TestWithoutQuarantineManyCrash(t *testing.T) {
+	worst := 0
+	rapid.Check(t, func(t *rapid.T) {
+		worst = max(worst, crashRun(t, func(*List, time.Time) bool { return false }))
+	})
+	is.New(t).True(worst > crashesToQuarantine)
+}
+
+func TestBystandersAreCleared(t *testing.T) {
+	is := is.New(t)
+	var l List
+	l.Crash(epoch, "a", []Fingerprint{1, 2})
+	is.True(l.Suspected(epoch, 2))
+	l.Succeeded(2)
+	is.True(!l.Suspected(epoch, 2))
+	l.Crash(epoch, "b", []Fingerprint{1, 2})
+	_, refused := l.Quarantined(epoch, 2)
+	is.True(!refused)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var l List
+	for i := range Fingerprint(3 * maxEntries) {
+		l.Crash(epoch, "a", []Fingerprint{i})
+	}
+	is.New(t).True(len(l.Entries(epoch)) <= maxEntries)
+}
--- /dev/null
+++ b/wharf/wharfrouting/balancer.go
@@ -0,0 +1,232 @@
+package wharfrouting
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfadmission"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+// Place is where the sending node is.
+type Place struct {
+	FailureDomain string
+	Region        string
+}
+
+// Request is what routing knows of a request.
+type Request struct {
+	// Route names the kind of request; levels are kept for each route.
+	Route    string
+	Rank     int
+	Priority wharfadmission.Priority
+	// Tried lists the targets that this request was already sent to.
+	Tried []string
+	// Only restricts the choice to the target of one node, if set.
+	Only string
+	// IgnoreLevels sends the request however the service is loaded.
+	IgnoreLevels bool
+}
+
+// Balancer spreads the requests of a node over the targets of a service. It
+// isn't safe for concurrent use; its owner holds a lock.
+type Balancer struct {
+	place  Place
+	states []*state
+	levels []routeLevel
+}
+
+// routeLevel is the admission level that a route met at a target.
+type routeLevel struct {
+	target string
+	route  string
+	level  wharfadmission.Priority
+	at     time.Time
+}
+
+// NewBalancer returns a balancer without targets.
+func NewBalancer(place Place) *Balancer {
+	return &Balancer{place: place}
+}
+
+// SetTargets replaces the list of targets and keeps what was learnt of those
+// that stay.
+func (b *Balancer) SetTargets(now time.Time, targets []Target) {
+	first := len(b.states) == 0
+	states := make([]*state, 0, len(targets))
+	for _, t := range targets {
+		s := b.find(t.Address)
+		if s == nil {
+			s = &state{added: now}
+			if first {
+				// Nothing is known of any target, so none is newer.
+				s.added = now.Add(-slowStart)
+			}
+		}
+		s.Target = t
+		states = append(states, s)
+	}
+	b.states = states
+}
+
+// Len returns the number of targets that aren't leaving.
+func (b *Balancer) Len() int {
+	n := 0
+	for _, s := range b.states {
+		if !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Balancer) find(address string) *state {
+	for _, s := range b.states {
+		if s.Address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+// Pick chooses a target, or says why there is none.
+func (b *Balancer) Pick(now time.Time, rng *rand.Rand, r Request) (Target, wharfoutcome.Reason) {
+	candidates := b.candidates(now, r)
+	if len(candidates) == 0 {
+		return Target{}, wharfoutcome.ReasonNoTarget
+	}
+	if !r.IgnoreLevels {
+		candidates = slices.DeleteFunc(candidates, func(s *state) bool {
+			return !b.admits(now, s, r)
+		})
+	}
+	if len(candidates) == 0 {
+		return Target{}, wharfoutcome.ReasonOverload
+	}
+	s := b.cheaper(now, candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))])
+	s.inFlight++
+	return s.Target, wharfoutcome.ReasonNone
+}
+
+func (b *Balancer) cheaper(now time.Time, x, y *state) *state {
+	if y.cost(now, b.place) < x.cost(now, b.place) {
+		return y
+	}
+	return x
+}
+
+// candidates returns the targets that may take the request. If most of them
+// are ejected, ejection is ignored.
+func (b *Balancer) candidates(now time.Time, r Request) []*state {
+	var open, all []*state
+	for _, s := range b.states {
+		if s.Leaving || slices.Contains(r.Tried, s.Address) || r.Only != "" && s.Node != r.Only {
+			continue
+		}
+		all = append(all, s)
+		if !s.ejected(now) {
+			open = append(open, s)
+		}
+	}
+	if r.Only != "" || b.panics(now) {
+		return all
+	}
+	return open
+}
+
+// panics reports whether so many targets are ejected that ejection is ignored.
+func (b *Balancer) panics(now time.Time) bool {
+	ejected, total := 0, 0
+	for _, s := range b.states {
+		if s.Leaving {
+			continue
+		}
+		total++
+		if s.ejected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected) > panicShare*float64(total)
+}
+
+func (b *Balancer) admits(now time.Time, s *state, r Request) bool {
+	for _, l := range b.levels {
+		if l.target == s.Address && l.route == r.Route {
+			return now.Sub(l.at) >= reportLife || r.Priority <= l.level
+		}
+	}
+	return true
+}
+
+// Observe takes the result of an attempt at a target.
+func (b *Balancer) Observe(now time.Time, address, route string, result Result, latency time.Duration, report *Report) {
+	s := b.find(address)
+	if s == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	s.observe(now, result, latency)
+	if report != nil {
+		s.report, s.reported = *report, now
+		b.noteLevel(now, address, route, report.RouteLevel)
+	}
+}
+
+func (b *Balancer) noteLevel(now time.Time, address, route string, level wharfadmission.Priority) {
+	b.levels = slices.DeleteFunc(b.levels, func(l routeLevel) bool {
+		return now.Sub(l.at) >= reportLife || l.target == address && l.route == route
+	})
+	if level < wharfadmission.LevelOpen {
+		b.levels = append(b.levels, routeLevel{address, route, level, now})
+	}
+}
+
+// RunsLowerWork reports whether another target still runs less important work
+// than the request, so that a refusal isn't the last word of the service.
+func (b *Balancer) RunsLowerWork(now time.Time, r Request) bool {
+	for _, s := range b.candidates(now, r) {
+		if s.fresh(now) && s.report.LowestRank > r.Rank {
+			return true
+		}
+	}
+	return false
+}
+
+// HasRoom reports whether another target is known to run below its limit, so
+// that the refusal of one target isn't that of the service.
+func (b *Balancer) HasRoom(now time.Time, r Request) bool {
+	for _, s := range b.candidates(now, r) {
+		if s.fresh(now) && s.report.Queued == 0 && s.report.Running < s.report.Limit && b.admits(now, s, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// Level returns the lowest level that a route met in the service, as long as
+// it is fresh. A service hands it up to its own callers.
+func (b *Balancer) Level(now time.Time, route string) wharfadmission.Priority {
+	level, found := wharfadmission.Priority(0), 0
+	for _, l := range b.levels {
+		if l.route == route && now.Sub(l.at) < reportLife {
+			level = max(level, l.level)
+			found++
+		}
+	}
+	if found == 0 || found < b.Len() {
+		return wharfadmission.LevelOpen
+	}
+	return level
+}
+
+// Ejected lists the targets that are left out at present.
+func (b *Balancer) Ejected(now time.Time) []string {
+	var out []string
+	for _, s := range b.states {
+		if s.ejected(now) {
+			out = append(out, s.Address)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/wharf/wharfrouting/balancer_test.go
@@ -0,0 +1,166 @@
+package wharfrouting
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "ragwortwharf.dev/wharf/internal/wharfseed"
+	"ragwortwharf.dev/wharf/wharfadmission"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+var (
+	epoch = time.Unix(0, 0)
+	home  = Place{FailureDomain: "a", Region: "r"}
+)
+
+func someTargets(n int) []Target {
+	targets := make([]Target, n)
+	for i := range targets {
+		targets[i] = Target{Address: fmt.Sprint("t", i), Node: fmt.Sprint("n", i), Slots: 10, FailureDomain: "a", Region: "r"}
+	}
+	return targets
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(1, 2))
+}
+
+func newTestBalancer(n int) *Balancer {
+	b := NewBalancer(home)
+	b.SetTargets(epoch, someTargets(n))
+	return b
+}
+
+func TestPickAvoids(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(b *Balancer)
+		request Request
+		reason  wharfoutcome.Reason
+	}{
+		{"leaving targets", func(b *Balancer) {
+			targets := someTargets(2)
+			targets[0].Leaving = true
+			b.SetTargets(epoch, targets)
+		}, Request{}, ""},
+		{"tried targets", func(*Balancer) {}, Request{Tried: []string{"t0"}}, ""},
+		{"ejected targets", func(b *Balancer) { b.Observe(epoch, "t0", "", Unreachable, 0, nil) }, Request{}, ""},
+		{"targets of other nodes", func(*Balancer) {}, Request{Only: "n1"}, ""},
+		{"targets above whose level the request is", func(b *Balancer) {
+			b.Observe(epoch, "t0", "x", Answered, time.Millisecond, &Report{Limit: 10, RouteLevel: 100})
+		}, Request{Route: "x", Priority: 101}, ""},
+		{"all when both were tried", func(*Balancer) {}, Request{Tried: []string{"t0", "t1"}}, wharfoutcome.ReasonNoTarget},
+		{"all when the service refuses the level", func(b *Balancer) {
+			for _, a := range []string{"t0", "t1"} {
+				b.Observe(epoch, a, "x", Answered, time.Millisecond, &Report{Limit: 10, RouteLevel: 100})
+			}
+		}, Request{Route: "x", Priority: 101}, wharfoutcome.ReasonOverload},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBalancer(2)
+			tc.prepare(b)
+			rng := newRand()
+			for range 50 {
+				target, reason := b.Pick(epoch, rng, tc.request)
+				is.Equal(reason, tc.reason)
+				is.True(target.Address != "t0")
+			}
+		})
+	}
+}
+
+func TestLevelsExpire(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(1)
+	b.Observe(epoch, "t0", "x", Answered, time.Millisecond, &Report{Limit: 1, RouteLevel: 5})
+	is.Equal(b.Level(epoch, "x"), wharfadmission.Priority(5))
+	is.Equal(b.Level(epoch, "y"), wharfadmission.LevelOpen) // other routes are not concerned
+	_, reason := b.Pick(epoch.Add(reportLife), newRand(), Request{Route: "x", Priority: 9})
+	is.Equal(reason, wharfoutcome.ReasonNone)
+}
+
+// TestNeverAllEjected fails targets at random: as long as one is not leaving,
+// a request finds a target.
+func TestNeverAllEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "targets")
+		b := newTestBalancer(n)
+		now := epoch
+		rng := newRand()
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+			address := fmt.Sprint("t", rapid.IntRange(0, n-1).Draw(t, "target"))
+			result := Result(rapid.IntRange(int(Answered), int(Withdrawn)).Draw(t, "result"))
+			b.Observe(now, address, "", result, time.Millisecond, nil)
+			if _, reason := b.Pick(now, rng, Request{}); reason != wharfoutcome.ReasonNone {
+				t.Fatalf("no target: %s", reason)
+			}
+		}
+	})
+}
+
+func TestEjectionGrowsAndEnds(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(4)
+	now := epoch
+	for _, want := range []time.Duration{1, 2, 4} {
+		b.Observe(now, "t0", "", Unreachable, 0, nil)
+		is.Equal(len(b.Ejected(now.Add(want*time.Second-1))), 1)
+		now = now.Add(want * time.Second)
+		is.Equal(len(b.Ejected(now)), 0)
+	}
+	b.Observe(now, "t0", "", Answered, time.Millisecond, nil)
+	b.Observe(now, "t0", "", Unreachable, 0, nil)
+	is.Equal(len(b.Ejected(now.Add(firstEjection))), 0) // an answer forgives
+}
+
+// TestFalseReportIsCorrected lets one target claim to be idle while its calls
+// take ten times as long; the calls decide.
+func TestFalseReportIsCorrected(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(2)
+	rng := newRand()
+	picks := 0
+	for i := range 400 {
+		now := epoch.Add(time.Duration(i) * 5 * time.Millisecond)
+		target, _ := b.Pick(now, rng, Request{})
+		latency := 10 * time.Millisecond
+		if target.Address == "t0" {
+			latency *= 10
+			picks++
+		}
+		b.Observe(now, target.Address, "", Answered, latency, &Report{Limit: 10, RouteLevel: wharfadmission.LevelOpen})
+	}
+	t.Logf("%d of 400", picks)
+	is.True(picks < 160)
+}
+
+func TestRefusalOfOneTarget(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(2)
+	r := Request{Rank: 0, Tried: []string{"t0"}}
+	is.True(!b.RunsLowerWork(epoch, r))
+	b.Observe(epoch, "t1", "", Answered, time.Millisecond, &Report{Limit: 10, Running: 10, Queued: 3, LowestRank: 4, RouteLevel: wharfadmission.LevelOpen})
+	is.True(b.RunsLowerWork(epoch, r))
+	is.True(!b.HasRoom(epoch, r))
+	is.True(!b.RunsLowerWork(epoch, Request{Rank: 4, Tried: []string{"t0"}}))
+}
+
+func BenchmarkPick(b *testing.B) {
+	balancer := newTestBalancer(9)
+	rng := newRand()
+	report := &Report{Limit: 10, RouteLevel: wharfadmission.LevelOpen}
+	b.ReportAllocs()
+	for b.Loop() {
+		t, _ := balancer.Pick(epoch, rng, Request{Route: "x"})
+		balancer.Observe(epoch, t.Address, "x", Answered, time.Millisecond, report)
+	}
+}
--- /dev/null
+++ b/wharf/wharfrouting/target.go
@@ -0,0 +1,147 @@
+package wharfrouting
+
+import (
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfadmission"
+)
+
+// Target is what membership and configuration say of a target.
+type Target struct {
+	// Address is that of the target itself and identifies it.
+	Address string
+	// Node is the id of its node and NodeAddress where the node listens.
+	Node          string
+	NodeAddress   string
+	FailureDomain string
+	Region        string
+	Slots         int
+	Leaving       bool
+}
+
+// Report is what an answer says of the load of its target.
+type Report struct {
+	Running    int
+	Queued     int
+	Limit      int
+	LowestRank int
+	// RouteLevel is the lowest admission level that requests of this route met
+	// at the target or below it.
+	RouteLevel wharfadmission.Priority
+}
+
+// Result is how an attempt at a target ended.
+type Result uint8
+
+// Results of an attempt.
+const (
+	// Answered means that the target answered.
+	Answered Result = iota
+	// Refused means that the target's node did not run the request.
+	Refused
+	// Unreachable means that the node could not be reached, or was lost.
+	Unreachable
+	// TargetFailed means that the node lives but its target broke off.
+	TargetFailed
+	// Withdrawn means that the sender gave up; it says nothing of the target.
+	Withdrawn
+)
+
+const (
+	// firstEjection is how long a target is left out at first; the time
+	// doubles with each ejection in a row.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	// failuresToEject is how many failures in a row eject a target whose node
+	// can be reached. An unreachable node is ejected at once.
+	failuresToEject = 3
+	// panicShare is the share of ejected targets above which ejection is
+	// ignored: then the trouble is not that of single targets.
+	panicShare = 0.5
+	// reportLife is how long a report is believed.
+	reportLife = time.Second
+	// slowStart is how long a new target is taken for busier than it says.
+	slowStart = 5 * time.Second
+	// slowStartCost multiplies the cost of a target that was just added.
+	slowStartCost = 4.0
+	// latencyWeight smooths the latency of a target.
+	latencyWeight = 0.2
+
+	otherDomainCost = 1.5
+	otherRegionCost = 8.0
+)
+
+// state is what a node has learnt of a target from its own calls.
+type state struct {
+	Target
+	added    time.Time
+	inFlight int
+	latency  float64
+	report   Report
+	reported time.Time
+
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+func (s *state) ejected(now time.Time) bool {
+	return now.Before(s.ejectedUntil)
+}
+
+func (s *state) fresh(now time.Time) bool {
+	return !s.reported.IsZero() && now.Sub(s.reported) < reportLife
+}
+
+// cost estimates how long a request would take here, in arbitrary units.
+func (s *state) cost(now time.Time, p Place) float64 {
+	limit, busy := s.Slots, s.inFlight
+	if s.fresh(now) {
+		limit = s.report.Limit
+		busy = max(busy, s.report.Running+s.report.Queued)
+	}
+	cost := float64(busy+1) / float64(max(limit, 1))
+	if s.latency > 0 {
+		cost *= s.latency
+	}
+	if age := now.Sub(s.added); age < slowStart {
+		cost *= 1 + (slowStartCost-1)*(1-age.Seconds()/slowStart.Seconds())
+	}
+	switch {
+	case s.Region != p.Region:
+		cost *= otherRegionCost
+	case s.FailureDomain != p.FailureDomain:
+		cost *= otherDomainCost
+	}
+	return cost
+}
+
+// observe takes the result of one attempt.
+func (s *state) observe(now time.Time, result Result, latency time.Duration) {
+	switch result {
+	case Answered:
+		s.failures, s.ejections = 0, 0
+		s.ejectedUntil = time.Time{}
+		if s.latency == 0 {
+			s.latency = latency.Seconds()
+		}
+		s.latency += latencyWeight * (latency.Seconds() - s.latency)
+	case Unreachable:
+		s.eject(now)
+	case TargetFailed:
+		s.failures++
+		if s.failures >= failuresToEject {
+			s.eject(now)
+		}
+	}
+}
+
+func (s *state) eject(now time.Time) {
+	if s.ejected(now) {
+		return
+	}
+	span := min(firstEjection<<min(s.ejections, 10), maxEjection)
+	s.ejections++
+	s.failures = 0
+	s.ejectedUntil = now.Add(span)
+}
--- /dev/null
+++ b/wharf/wharfstate/envelope.go
@@ -0,0 +1,85 @@
+package wharfstate
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/samber/oops"
+
+	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+// Stream is the stream of the platform's log that all records stand in.
+const Stream = "wharf-state"
+
+// AuditStream is the stream that nodes write their own acts to.
+const AuditStream = "wharf-audit"
+
+// Envelope is the form of a record in the log. Exactly one field is set.
+type Envelope struct {
+	Change   *wharfconfig.Change `json:"change,omitempty"`
+	Home     *wharfhome.Record   `json:"home,omitempty"`
+	Snapshot []byte              `json:"snapshot,omitempty"`
+}
+
+// Encode returns the stored form of an envelope.
+func (e Envelope) Encode() ([]byte, error) {
+	return json.Marshal(e)
+}
+
+// decode reads a record. What can't be read is skipped by all nodes alike.
+func decode(r wharfstream.Record) (Envelope, bool) {
+	var e Envelope
+	if err := json.Unmarshal(r.Data, &e); err != nil {
+		return Envelope{}, false
+	}
+	return e, true
+}
+
+// saved is the stored form of a state.
+type saved struct {
+	Offset uint64            `json:"offset"`
+	Time   time.Time         `json:"time"`
+	Config wharfconfig.Saved `json:"config"`
+	Homes  wharfhome.Saved   `json:"homes"`
+}
+
+// Save returns the compressed stored form of a state.
+func (s *State) Save() ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	form := saved{Offset: s.Offset(), Time: s.Time(), Config: s.Config().Save(), Homes: s.Homes().Save()}
+	if err := json.NewEncoder(w).Encode(form); err != nil {
+		return nil, oops.Code("snapshot-encode").Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, oops.Code("snapshot-encode").Wrap(err)
+	}
+	return b.Bytes(), nil
+}
+
+// maxSnapshotBytes bounds what a stored form may unpack to.
+const maxSnapshotBytes = 256 << 20
+
+// Load rebuilds a state from its stored form.
+func Load(data []byte) (*State, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, oops.Code("snapshot-decode").Wrap(err)
+	}
+	var form saved
+	if err := json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(&form); err != nil {
+		return nil, oops.Code("snapshot-decode").Wrap(err)
+	}
+	return &State{
+		offset: form.Offset,
+		time:   form.Time,
+		config: wharfconfig.Load(form.Config),
+		homes:  wharfhome.Load(form.Homes),
+	}, nil
+}
--- /dev/null
+++ b/wharf/wharfstate/state.go
@@ -0,0 +1,138 @@
+package wharfstate
+
+import (
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+// State is the fold of the log up to an offset. It never changes; WithRecords
+// returns a new one. A nil State is empty.
+type State struct {
+	offset uint64
+	time   time.Time
+	config *wharfconfig.Snapshot
+	homes  *wharfhome.Table
+	// snapshotOffset is where the last snapshot record stands.
+	snapshotOffset uint64
+}
+
+// Offset returns the offset of the last record that was folded.
+func (s *State) Offset() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.offset
+}
+
+// Time returns the time of the last record that was folded.
+func (s *State) Time() time.Time {
+	if s == nil {
+		return time.Time{}
+	}
+	return s.time
+}
+
+// Config returns the configuration.
+func (s *State) Config() *wharfconfig.Snapshot {
+	if s == nil {
+		return nil
+	}
+	return s.config
+}
+
+// Homes returns the ownership of keys.
+func (s *State) Homes() *wharfhome.Table {
+	if s == nil {
+		return nil
+	}
+	return s.homes
+}
+
+// SnapshotOffset returns the offset of the last snapshot record that was seen
+// in the log, so that a writer knows when the next one is due.
+func (s *State) SnapshotOffset() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.snapshotOffset
+}
+
+// WithRecords folds the records that continue the state. Records at or below
+// its offset are skipped. Where records are missing, a snapshot among those
+// given bridges the gap; without one the state stops before it.
+func (s *State) WithRecords(records []wharfstream.Record) *State {
+	if len(records) > 0 && records[0].Offset > s.Offset()+1 {
+		s = s.bridge(records)
+	}
+	f := fold{base: s, offset: s.Offset(), time: s.Time(), snapshotOffset: s.SnapshotOffset()}
+	for _, r := range records {
+		if r.Offset > f.offset+1 {
+			break
+		}
+		if r.Offset == f.offset+1 {
+			f.add(r)
+		}
+	}
+	return f.state()
+}
+
+// bridge returns the furthest snapshot among the records, or the state itself
+// if there is none beyond it.
+func (s *State) bridge(records []wharfstream.Record) *State {
+	best := s
+	for _, r := range records {
+		e, ok := decode(r)
+		if !ok || e.Snapshot == nil {
+			continue
+		}
+		loaded, err := Load(e.Snapshot)
+		if err == nil && loaded.Offset() > best.Offset() && loaded.Offset() < r.Offset {
+			best = loaded
+		}
+	}
+	return best
+}
+
+// fold collects the records of one call, so that maps are copied once.
+type fold struct {
+	base           *State
+	offset         uint64
+	time           time.Time
+	snapshotOffset uint64
+	changes        []wharfconfig.Positioned
+	homes          []wharfhome.Positioned
+}
+
+func (f *fold) add(r wharfstream.Record) {
+	f.offset, f.time = r.Offset, r.Time
+	e, ok := decode(r)
+	switch {
+	case !ok:
+	case e.Change != nil:
+		f.changes = append(f.changes, wharfconfig.Positioned{Change: *e.Change, Offset: r.Offset, Time: r.Time})
+	case e.Home != nil:
+		f.homes = append(f.homes, wharfhome.Positioned{Record: *e.Home, Offset: r.Offset, Time: r.Time})
+	case e.Snapshot != nil:
+		f.snapshotOffset = r.Offset
+	}
+}
+
+func (f *fold) state() *State {
+	if f.base != nil && f.offset == f.base.offset {
+		return f.base
+	}
+	next := &State{
+		offset: f.offset, time: f.time, snapshotOffset: f.snapshotOffset,
+		config: f.base.Config(), homes: f.base.Homes(),
+	}
+	if len(f.changes) > 0 {
+		next.config = next.config.WithChanges(f.changes)
+	}
+	if len(f.homes) > 0 {
+		next.homes = next.homes.WithRecords(f.homes)
+	}
+	return next
+}
