Judge a target by its own work, not by that of the services below

Cause: limits of the front and middle services fell to 2 while a deep service was slow. Their latency and their refusals were those of the calls below. Ruled out: the deep limit; it stayed at 7 to 10 on two of three targets. Conclusion: the node sees the calls below, so it takes their time off and doesn't count passed-on refusals.

--- a/wharf/wharfbudget/budget_test.go
+++ b/wharf/wharfbudget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -126,6 +127,23 @@
 	is.Equal(l.Len(), 0)
 }
 
+func TestLedgerMeasuresTimeBelow(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	at := func(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
+	l.Open(1, Entry{})
+	l.CallBegins(at(10), 1)
+	l.CallBegins(at(20), 1) // two calls side by side count once
+	l.CallEnds(at(40), 1, Met{Closed: 3})
+	l.CallEnds(at(50), 1, Met{Refused: true, Closed: 1})
+	l.CallBegins(at(70), 1)
+	l.CallEnds(at(75), 1, Met{Retried: true})
+	e := l.Close(1)
+	is.Equal(e.Below, 45*time.Millisecond)
+	is.True(e.RefusedBelow && e.Retried)
+	is.Equal(e.Closed, uint16(3))
+}
+
 func TestRetryRatio(t *testing.T) {
 	is := is.New(t)
 	var b RetryRatio
--- a/wharf/wharfbudget/ledger.go
+++ b/wharf/wharfbudget/ledger.go
@@ -21,6 +21,14 @@
 	Depth   int
 	// Retried says that a call below failed after it was tried again.
 	Retried bool
+	// RefusedBelow says that a call below was refused or failed, so that a
+	// refusal of this call says nothing of its own target.
+	RefusedBelow bool
+	// Below is the time in which at least one call below was under way, and
+	// belowCalls and belowSince describe the calls that are.
+	Below      time.Duration
+	belowCalls int
+	belowSince time.Time
 	// Closed is how far the lowest admission level that the calls below have
 	// met is from an open one.
 	Closed uint16
@@ -79,32 +87,47 @@
 // Return gives back what an attempt did not use. Nothing happens if the call
 // has already ended, because its grant was settled then.
 func (l *Ledger) Return(id GrantID, handedDown, returned int) {
-	s := l.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, found := s.entries[id]
-	if !found {
-		return
-	}
-	e.Grant = e.Grant.WithReturned(handedDown, returned)
-	s.entries[id] = e
+	l.update(id, func(e *Entry) { e.Grant = e.Grant.WithReturned(handedDown, returned) })
 }
 
 // Undo takes back an attempt that was never sent.
 func (l *Ledger) Undo(id GrantID, handedDown int) {
-	s := l.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, found := s.entries[id]
-	if !found {
-		return
-	}
-	e.Grant = e.Grant.WithUndone(handedDown)
-	s.entries[id] = e
+	l.update(id, func(e *Entry) { e.Grant = e.Grant.WithUndone(handedDown) })
+}
+
+// Met is what a call below has met.
+type Met struct {
+	Retried bool
+	Refused bool
+	// Closed is how far the admission level was from an open one.
+	Closed uint16
+}
+
+// CallBegins records that a call below is under way.
+func (l *Ledger) CallBegins(now time.Time, id GrantID) {
+	l.update(id, func(e *Entry) {
+		if e.belowCalls == 0 {
+			e.belowSince = now
+		}
+		e.belowCalls++
+	})
+}
+
+// CallEnds records the end of a call below and what it has met.
+func (l *Ledger) CallEnds(now time.Time, id GrantID, m Met) {
+	l.update(id, func(e *Entry) {
+		e.belowCalls--
+		if e.belowCalls == 0 {
+			e.Below += now.Sub(e.belowSince)
+		}
+		e.Retried = e.Retried || m.Retried
+		e.RefusedBelow = e.RefusedBelow || m.Refused
+		e.Closed = max(e.Closed, m.Closed)
+	})
 }
 
-// Note records what a call below has met.
-func (l *Ledger) Note(id GrantID, retried bool, closed uint16) {
+// update changes the entry of a call that hasn't ended.
+func (l *Ledger) update(id GrantID, change func(e *Entry)) {
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,8 +135,7 @@
 	if !found {
 		return
 	}
-	e.Retried = e.Retried || retried
-	e.Closed = max(e.Closed, closed)
+	change(&e)
 	s.entries[id] = e
 }
 
--- a/wharfnode/internal/wharfentry/grant.go
+++ b/wharfnode/internal/wharfentry/grant.go
@@ -1,6 +1,10 @@
 package wharfentry
 
-import "ragwortwharf.dev/wharf/wharfbudget"
+import (
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfbudget"
+)
 
 // grant is where the attempts of a request come from.
 type grant interface {
@@ -10,8 +14,9 @@
 	giveBack(handedDown, returned int)
 	// undo takes back an attempt that was never sent.
 	undo(handedDown int)
-	// note records what the attempts have met.
-	note(retried bool, closed uint16)
+	// begin and end frame the request and record what it has met.
+	begin()
+	end(m wharfbudget.Met)
 }
 
 // rootGrant is the grant of a user request that begins here.
@@ -32,7 +37,9 @@
 	g.grant = g.grant.WithUndone(handedDown)
 }
 
-func (g *rootGrant) note(bool, uint16) {}
+func (g *rootGrant) begin() {}
+
+func (g *rootGrant) end(wharfbudget.Met) {}
 
 // ledgerGrant is the grant of a call that the service on this VM serves.
 type ledgerGrant struct {
@@ -52,6 +59,10 @@
 	g.ledger.Undo(g.id, handedDown)
 }
 
-func (g *ledgerGrant) note(retried bool, closed uint16) {
-	g.ledger.Note(g.id, retried, closed)
+func (g *ledgerGrant) begin() {
+	g.ledger.CallBegins(time.Now(), g.id)
+}
+
+func (g *ledgerGrant) end(m wharfbudget.Met) {
+	g.ledger.CallEnds(time.Now(), g.id, m)
 }
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -29,6 +29,8 @@
 // send makes attempts until the request has its final outcome.
 func (e *Entry) send(c *call) {
 	s := &sending{entry: e, call: c, route: e.routes.get(e.View, c.service)}
+	c.grant.begin()
+	defer s.end()
 	for s.attempt() {
 		if !s.pause() {
 			break
@@ -37,10 +39,18 @@
 	if s.last.answered {
 		return
 	}
-	c.grant.note(s.tries > 1, s.route.closed(c.route()))
 	e.refuse(c, s.last.outcome)
 }
 
+// end records what the request has met for the call that it was made for.
+func (s *sending) end() {
+	s.call.grant.end(wharfbudget.Met{
+		Retried: s.tries > 1 && !s.last.answered,
+		Refused: !s.last.answered,
+		Closed:  s.route.closed(s.call.route()),
+	})
+}
+
 // attempt makes one attempt and reports whether another may follow.
 func (s *sending) attempt() bool {
 	e, c := s.entry, s.call
@@ -67,7 +77,6 @@
 	s.last = e.attempt(c, target, down)
 	s.observe(target, down)
 	if s.last.answered {
-		c.grant.note(false, s.route.closed(c.route()))
 		return false
 	}
 	return s.mayRetry(request)
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -35,10 +35,10 @@
 		Outcome:      uint32(o.Kind),
 		Reason:       string(o.Reason),
 		RetryAfterMs: o.RetryAfter.Milliseconds(),
-		Retried:      c.retried,
+		Retried:      c.below.Retried,
 	}
 	if c.target != nil {
-		head.Load = c.target.load(c.closedBelow)
+		head.Load = c.target.load(c.below.Closed)
 	}
 	return head
 }
@@ -68,9 +68,7 @@
 
 // relay passes the answer of the target on while it comes in.
 func (s *Server) relay(c *call, ctx context.Context, response *http.Response, result *wharfadmission.Result) (wharfoutcome.Outcome, bool) {
-	if e, ok := s.Ledger.Get(c.grant); ok {
-		c.retried, c.closedBelow = e.Retried, e.Closed
-	}
+	c.below, _ = s.Ledger.Get(c.grant)
 	head := s.answerHead(c, wharfoutcome.Done())
 	head.Status = int32(response.StatusCode)
 	head.Headers = wharfwire.PackHeaders(response.Header)
@@ -89,7 +87,7 @@
 		return wharfoutcome.Outcome{}, true
 	}
 	*result = wharfadmission.Answered
-	if isShed(response.StatusCode) {
+	if isShed(response.StatusCode) && !c.below.RefusedBelow {
 		*result = wharfadmission.Shed
 	}
 	kept.answer.Whole = !kept.over
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -65,7 +65,8 @@
 	c.target.took(c)
 	result := wharfadmission.Withdrawn
 	started := time.Now()
-	defer func() { c.target.ended(c, time.Since(started), result) }()
+	// The time that the target waited for calls of its own is not its latency.
+	defer func() { c.target.ended(c, time.Since(started)-c.below.Below, result) }()
 	if o, ok := s.mayDispatch(c); !ok {
 		return o, false
 	}
@@ -89,8 +90,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if o, refused := refusedByTarget(response); refused {
-		result = wharfadmission.Shed
 		s.settle(c)
+		if !c.below.RefusedBelow {
+			result = wharfadmission.Shed
+		}
 		s.finishKey(c, o, nil)
 		return o, false
 	}
@@ -227,9 +230,8 @@
 
 // settle closes the grant of the call and keeps what it says of those below.
 func (s *Server) settle(c *call) int {
-	e := s.Ledger.Close(c.grant)
-	c.retried, c.closedBelow = e.Retried, e.Closed
-	return e.Grant.Left()
+	c.below = s.Ledger.Close(c.grant)
+	return c.below.Grant.Left()
 }
 
 func resultOf(ctx context.Context, o wharfoutcome.Outcome) wharfadmission.Result {
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -75,9 +75,8 @@
 	keyed bool
 	key   wharfhome.KeyID
 	grant wharfbudget.GrantID
-	// retried and closedBelow are what the calls below have met.
-	retried     bool
-	closedBelow uint16
+	// below is what the calls that the target made for this one have met.
+	below wharfbudget.Entry
 	// replay is the kept answer of an earlier send.
 	replay *wharfhome.Answer
 	// err ends the stream of a call whose answer could not be sent whole.
