Lower the admission level to the capacity, not to what was finished

Cause: deep targets ran 2 or 3 of 10 slots for seconds. Their level followed the requests finished in the last 200 ms, which are few when little is admitted and when one request takes 600 ms. Ruled out: the limit, which was back at 10 two seconds earlier. Conclusion: capacity is limit over holding time, in windows no shorter than that time. The level still opens too slowly after the limit rises.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -14,8 +14,10 @@
 	minQueue = 8
 	// standingDelay is the least wait in a window that means a standing queue.
 	standingDelay = 20 * time.Millisecond
-	// judgeWindow is the time between two decisions on queue and level.
-	judgeWindow = 200 * time.Millisecond
+	// judgeWindow is the least time between two decisions on queue and level;
+	// it grows with the time that a request holds its slot, up to a second.
+	judgeWindow    = 200 * time.Millisecond
+	maxJudgeWindow = time.Second
 	// latencyWeight smooths the latency that estimates are made from.
 	latencyWeight = 0.1
 	// drainWeight smooths the drain rate.
@@ -60,14 +62,22 @@
 	Share float64
 }
 
+// running is a request that has a slot.
+type running struct {
+	Ticket
+	started time.Time
+}
+
 // Gate decides on the requests of one target. It isn't safe for concurrent
 // use; its owner holds a lock.
 type Gate struct {
 	cfg     Config
 	queue   queue
-	running []Ticket
+	running []running
 	level   Level
 	latency rankLatency
+	// hold is the smoothed time that a request holds its slot, in seconds.
+	hold float64
 
 	// shortestWait is the least wait of a request in the present window; the
 	// queue stands when it doesn't come down to nothing.
@@ -124,15 +134,15 @@
 // Finish ends a request that ran.
 func (g *Gate) Finish(now time.Time, id uint64, latency time.Duration, result Result) Effects {
 	var fx Effects
-	for i, t := range g.running {
-		if t.ID != id {
+	for i, r := range g.running {
+		if r.ID != id {
 			continue
 		}
 		saturated := len(g.running) >= g.cfg.Limiter.Limit() || g.queue.len() > 0
 		end := len(g.running) - 1
 		g.running[i] = g.running[end]
 		g.running = g.running[:end]
-		g.observe(now, Sample{Rank: t.Rank, Latency: latency, Result: result, Saturated: saturated})
+		g.observe(now, now.Sub(r.started), Sample{Rank: r.Rank, Latency: latency, Result: result, Saturated: saturated})
 		break
 	}
 	g.turn(now)
@@ -196,13 +206,16 @@
 	return advice + time.Duration(g.cfg.Rand.Float64()*retryJitter*float64(advice))
 }
 
-func (g *Gate) observe(now time.Time, s Sample) {
+func (g *Gate) observe(now time.Time, held time.Duration, s Sample) {
 	g.cfg.Limiter.Observe(now, s)
 	if s.Result != Answered {
 		return
 	}
 	g.latency.smooth(s.Rank, s.Latency.Seconds(), latencyWeight)
-	g.level.Drained()
+	if g.hold == 0 {
+		g.hold = held.Seconds()
+	}
+	g.hold += latencyWeight * (held.Seconds() - g.hold)
 	g.drainCount++
 	g.measureDrain(now)
 }
@@ -234,7 +247,7 @@
 	if g.windowStart.IsZero() {
 		g.windowStart = now
 	}
-	windows := int(now.Sub(g.windowStart) / judgeWindow)
+	windows := int(now.Sub(g.windowStart) / g.window())
 	if windows == 0 {
 		return
 	}
@@ -249,17 +262,33 @@
 func (g *Gate) judge() {
 	if !g.waitSeen && g.queue.len() > 0 {
 		// Nothing left the queue in the window: everything waited longer.
-		g.shortestWait = judgeWindow
+		g.shortestWait = g.window()
 	}
 	g.standing = g.shortestWait > standingDelay
 	if g.cfg.Levels {
-		g.level.Update(g.standing || g.refusedFull)
+		g.level.Update(g.standing || g.refusedFull, g.capacity())
 	}
 	g.shortestWait = 0
 	g.waitSeen = false
 	g.refusedFull = false
 }
 
+// window returns the time between two decisions on queue and level.
+func (g *Gate) window() time.Duration {
+	hold := time.Duration(g.hold * float64(time.Second))
+	return min(max(hold, judgeWindow), maxJudgeWindow)
+}
+
+// capacity returns how many requests the target can finish in a window. It
+// follows from the limit and not from what was finished, which is less while
+// too little is admitted.
+func (g *Gate) capacity() float64 {
+	if g.hold == 0 {
+		return float64(g.cfg.Limiter.Limit())
+	}
+	return float64(g.cfg.Limiter.Limit()) / g.hold * g.window().Seconds()
+}
+
 // fill starts waiting requests while the limit allows.
 func (g *Gate) fill(now time.Time, fx *Effects) {
 	for g.queue.len() > 0 {
@@ -274,7 +303,7 @@
 			return
 		}
 		g.queue.remove(i)
-		g.running = append(g.running, t)
+		g.running = append(g.running, running{t, now})
 		g.noteWait(now.Sub(t.Arrived))
 		fx.Run = append(fx.Run, t.ID)
 	}
--- a/wharf/wharfadmission/level.go
+++ b/wharf/wharfadmission/level.go
@@ -1,5 +1,7 @@
 package wharfadmission
 
+import "math"
+
 const (
 	// bucketsPerRank is how finely a level divides the user requests of a rank.
 	bucketsPerRank = 128
@@ -8,8 +10,6 @@
 	// firstOpenStep is by how many buckets a level opens after an overload; it
 	// doubles with each calm window.
 	firstOpenStep = 8
-	// drainMargin is the share of the drain rate that a lowered level admits.
-	drainMargin = 0.95
 )
 
 // Priority packs class and user request into one number; lower is more
@@ -35,7 +35,6 @@
 	closed   Priority
 	step     Priority
 	arrivals [LevelOpen + 1]uint16
-	drained  int
 }
 
 // Threshold returns the largest priority that is admitted.
@@ -51,26 +50,19 @@
 	return p <= l.Threshold()
 }
 
-// Drained counts a request that the target finished.
-func (l *Level) Drained() {
-	l.drained++
-}
-
-// Update ends a window and moves the threshold.
-func (l *Level) Update(overloaded bool) {
+// Update ends a window and moves the threshold. In an overload it admits as
+// many of the arrivals as the target can finish in a window.
+func (l *Level) Update(overloaded bool, capacity float64) {
 	if overloaded {
-		l.lower()
+		l.lower(int(math.Ceil(capacity)))
 	} else {
 		l.open()
 	}
 	l.arrivals = [LevelOpen + 1]uint16{}
-	l.drained = 0
 }
 
-// lower moves the threshold to where the admitted arrivals match the drain.
-func (l *Level) lower() {
+func (l *Level) lower(allowed int) {
 	l.step = 0
-	allowed := int(drainMargin * float64(l.drained))
 	admitted := 0
 	next := Priority(0)
 	for p := Priority(0); p <= l.Threshold(); p++ {
--- a/wharf/wharfadmission/limiter_test.go
+++ b/wharf/wharfadmission/limiter_test.go
@@ -107,16 +107,13 @@
 		l.Admit(PriorityOf(0, i))
 		l.Admit(PriorityOf(5, i))
 	}
-	for range 500 {
-		l.Drained()
-	}
-	l.Update(true)
+	l.Update(true, 475)
 	is.Equal(l.Threshold().Rank(), 0)
 	share := float64(l.Threshold()) / bucketsPerRank
 	is.True(share > 0.4 && share < 0.5) // 475 of the first thousand
 	windows := 0
 	for ; l.Threshold() < LevelOpen; windows++ {
-		l.Update(false)
+		l.Update(false, 475)
 	}
 	is.True(windows >= 5 && windows <= 10)
 }
