Rebase classes that a slow target has not served yet

Cause: the limit of a slow target fell from 10 to 4 again and again. After a rebase, classes that had not been seen kept their old baseline; each request of one looked ten times too slow. A deadline that came first counted as a refusal by the target. Conclusion: baselines move together. The two cuts at the onset are left.

--- a/wharf/wharfadmission/aimd.go
+++ b/wharf/wharfadmission/aimd.go
@@ -82,7 +82,7 @@
 	case ratio < congestedRatio:
 		a.calm()
 	case a.cutRatio > 0 && unmoved(a.cutRatio, ratio):
-		a.rebase()
+		a.rebase(ratio)
 	default:
 		a.cut(ratio)
 	}
@@ -106,11 +106,14 @@
 	a.settling = true
 }
 
-// rebase accepts the latency of the window as that of the target.
-func (a *AIMD) rebase() {
+// rebase accepts the latency of the window as that of the target. Ranks that
+// the window did not see are taken to have slowed as much as the others.
+func (a *AIMD) rebase(ratio float64) {
 	for rank := range a.baseline {
 		if mean, ok := a.window.mean(rank); ok {
 			a.baseline[rank] = mean
+		} else {
+			a.baseline[rank] *= ratio
 		}
 	}
 	a.limit = a.limitBeforeCuts
@@ -149,7 +152,7 @@
 	}
 	w.saturated = w.saturated || s.Saturated
 	w.count++
-	if s.Result != Answered {
+	if s.Result == Shed || s.Result == Failed {
 		w.refused++
 		return
 	}
--- a/wharf/wharfadmission/level.go
+++ b/wharf/wharfadmission/level.go
@@ -10,6 +10,9 @@
 	// firstOpenStep is by how many buckets a level opens after an overload; it
 	// doubles with each calm window.
 	firstOpenStep = 8
+	// maxOpenRatio bounds by how much a level grows at a time when less is
+	// admitted than the target could finish.
+	maxOpenRatio = 4.0
 )
 
 // Priority packs class and user request into one number; lower is more
@@ -56,7 +59,7 @@
 	if overloaded {
 		l.lower(int(math.Ceil(capacity)))
 	} else {
-		l.open()
+		l.open(capacity)
 	}
 	l.arrivals = [LevelOpen + 1]uint16{}
 }
@@ -75,10 +78,26 @@
 	l.closed = LevelOpen - next
 }
 
-func (l *Level) open() {
+// open raises the threshold by a step, or in proportion to the capacity that
+// the admitted arrivals left unused.
+func (l *Level) open(capacity float64) {
 	if l.closed == 0 {
 		return
 	}
 	l.step = max(2*l.step, firstOpenStep)
-	l.closed -= min(l.step, l.closed)
+	step := l.step
+	if admitted := l.admitted(); admitted > 0 && capacity > admitted {
+		ratio := min(capacity/admitted, maxOpenRatio)
+		step = max(step, Priority(float64(l.Threshold())*(ratio-1)))
+	}
+	l.closed -= min(step, l.closed)
+}
+
+// admitted counts the arrivals of the window that the threshold let pass.
+func (l *Level) admitted() float64 {
+	n := 0
+	for p := Priority(0); p <= l.Threshold(); p++ {
+		n += int(l.arrivals[p])
+	}
+	return float64(n)
 }
--- a/wharf/wharfadmission/limiter.go
+++ b/wharf/wharfadmission/limiter.go
@@ -16,6 +16,9 @@
 	Shed
 	// Failed means that the target gave no answer.
 	Failed
+	// Late means that the deadline came first. The target needs at least the
+	// latency of the sample.
+	Late
 	// Withdrawn means that the caller went away; it says nothing of the target.
 	Withdrawn
 )
--- a/wharf/wharfadmission/limiter_test.go
+++ b/wharf/wharfadmission/limiter_test.go
@@ -90,6 +90,28 @@
 	is.True(l.Limit() < before/2)
 }
 
+// TestUnseenClassDoesNotCutLimit lets a class that was not seen while its
+// target slowed down come back afterwards.
+func TestUnseenClassDoesNotCutLimit(t *testing.T) {
+	is := is.New(t)
+	l := NewAIMD(testSlots)
+	now := epoch
+	sample := func(rank int, latency time.Duration) {
+		now = now.Add(2 * time.Millisecond)
+		l.Observe(now, Sample{Rank: rank, Latency: latency, Result: Answered, Saturated: true})
+	}
+	for i := range 1000 {
+		sample(i%2, 10*time.Millisecond)
+	}
+	for range 1000 {
+		sample(0, 100*time.Millisecond)
+	}
+	for i := range 1000 {
+		sample(i%2, 100*time.Millisecond)
+		is.True(i < 100 || l.Limit() >= testSlots*9/10)
+	}
+}
+
 func TestWithdrawnSaysNothing(t *testing.T) {
 	is := is.New(t)
 	l := NewAIMD(100)
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -237,7 +237,7 @@
 func resultOf(ctx context.Context, o wharfoutcome.Outcome) wharfadmission.Result {
 	switch {
 	case o.Reason == wharfoutcome.ReasonDeadline:
-		return wharfadmission.Failed
+		return wharfadmission.Late
 	case ctx.Err() != nil:
 		return wharfadmission.Withdrawn
 	default:
