Wait for steady latency before the first cut of a limit

Cause: at the onset of trouble the first window mixes requests from before with slow ones. The limit was cut, the next window looked worse because the trouble was still growing, and it was cut again. Ruled out: a milder cut; its effect would drown in the noise of one window.

--- a/wharf/wharfadmission/aimd.go
+++ b/wharf/wharfadmission/aimd.go
@@ -17,6 +17,10 @@
 	// relievedShare is how far latency must fall, relative to the cut of the
 	// limit, to show that the limit was the cause.
 	relievedShare = 0.5
+	// steadyShare is the change of latency between windows that counts as none.
+	steadyShare = 0.25
+	// maxUnsteady is how many windows a cut waits for latency to be steady.
+	maxUnsteady = 3
 	// shedShare is the share of shed or failed samples that means congestion.
 	shedShare = 0.1
 )
@@ -39,6 +43,10 @@
 	cutRatio float64
 	// limitBeforeCuts is the limit before the first of a row of cuts.
 	limitBeforeCuts float64
+	// lastRatio is the congested ratio of the window before, and unsteady the
+	// number of congested windows that the first cut has waited for.
+	lastRatio float64
+	unsteady  int
 	// settling skips the window in which requests from before a cut end.
 	settling bool
 }
@@ -83,6 +91,9 @@
 		a.calm()
 	case a.cutRatio > 0 && unmoved(a.cutRatio, ratio):
 		a.rebase(ratio)
+	case a.cutRatio == 0 && !a.steady(ratio):
+		// Requests from before the trouble are mixed in. A cut now could not
+		// be told from the trouble itself.
 	default:
 		a.cut(ratio)
 	}
@@ -96,7 +107,17 @@
 	return math.Abs(fall) < relievedShare*expectedFall
 }
 
+// steady reports whether latency is as it was in the window before. After
+// maxUnsteady windows it is taken as it is.
+func (a *AIMD) steady(ratio float64) bool {
+	last := a.lastRatio
+	a.lastRatio = ratio
+	a.unsteady++
+	return math.Abs(ratio-last) <= steadyShare*last || a.unsteady > maxUnsteady
+}
+
 func (a *AIMD) cut(ratio float64) {
+	a.lastRatio, a.unsteady = 0, 0
 	if a.cutRatio == 0 {
 		a.limitBeforeCuts = a.limit
 	}
@@ -123,6 +144,7 @@
 
 func (a *AIMD) calm() {
 	a.cutRatio = 0
+	a.lastRatio, a.unsteady = 0, 0
 	for rank := range a.baseline {
 		// The baseline rises only after a cut without relief: a drift towards
 		// the present latency would let the limit creep up under queueing.
