Send a short call and a short answer as one frame

Cause: a small call took three messages each way between nodes. Ruled out: a short answer read until its end only; a body that ended early would have passed as whole, so the announced length is read in full.

--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -126,30 +126,41 @@
 
 // begin sends the head and the part of the body that is kept.
 func (x *transfer) begin() error {
-	if err := x.stream.Send(&wharfwire.CallFrame{Frame: &wharfwire.CallFrame_Head{Head: x.head}}); err != nil {
-		return err
-	}
-	for rest := x.call.body.prefix; len(rest) > 0; {
+	frame := &wharfwire.CallFrame{Head: x.head}
+	rest := x.call.body.prefix
+	for {
 		n := min(len(rest), wharfwire.ChunkSize)
-		if err := x.sendChunk(rest[:n]); err != nil {
+		frame.Chunk = rest[:n]
+		x.sum.Add(frame.GetChunk())
+		rest = rest[n:]
+		if len(rest) == 0 && x.call.body.rest == nil {
+			frame.End = x.sum.End()
+		}
+		if err := x.stream.Send(frame); err != nil {
 			return err
 		}
-		rest = rest[n:]
+		if len(rest) == 0 {
+			return x.closeShort()
+		}
+		frame = &wharfwire.CallFrame{}
 	}
+}
+
+// closeShort ends the sending side if nothing more of the body comes.
+func (x *transfer) closeShort() error {
 	if x.call.body.rest != nil {
 		return nil
 	}
-	return x.sendEnd()
+	return x.stream.CloseSend()
 }
 
 func (x *transfer) sendChunk(p []byte) error {
 	x.sum.Add(p)
-	return x.stream.Send(&wharfwire.CallFrame{Frame: &wharfwire.CallFrame_Chunk{Chunk: p}})
+	return x.stream.Send(&wharfwire.CallFrame{Chunk: p})
 }
 
 func (x *transfer) sendEnd() error {
-	err := x.stream.Send(&wharfwire.CallFrame{Frame: &wharfwire.CallFrame_End{End: x.sum.End()}})
-	if err != nil {
+	if err := x.stream.Send(&wharfwire.CallFrame{End: x.sum.End()}); err != nil {
 		return err
 	}
 	return x.stream.CloseSend()
@@ -172,9 +183,9 @@
 			continue
 		}
 		if wharfoutcome.Kind(head.GetOutcome()) != wharfoutcome.Completed || head.GetReason() != "" {
-			return x.refused(head)
+			return x.refused(frame)
 		}
-		return x.answer(head)
+		return x.answer(frame)
 	}
 }
 
@@ -218,7 +229,8 @@
 }
 
 // refused is the result of an attempt that ended without an answer.
-func (x *transfer) refused(head *wharfwire.AnswerHead) attemptResult {
+func (x *transfer) refused(frame *wharfwire.AnswerFrame) attemptResult {
+	head := frame.GetHead()
 	result := attemptResult{
 		sent:    true,
 		retried: head.GetRetried(),
@@ -236,9 +248,7 @@
 	case wharfoutcome.ReasonNoTarget:
 		result.routing = wharfrouting.Unreachable
 	}
-	if frame, err := x.stream.Recv(); err == nil && frame.GetEnd() != nil {
-		result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
-	}
+	result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
 	return result
 }
 
--- a/wharfnode/internal/wharfentry/respond.go
+++ b/wharfnode/internal/wharfentry/respond.go
@@ -39,15 +39,14 @@
 }
 
 // answer takes the body of an answer and passes it on.
-func (x *transfer) answer(head *wharfwire.AnswerHead) attemptResult {
+func (x *transfer) answer(frame *wharfwire.AnswerFrame) attemptResult {
+	head := frame.GetHead()
 	result := attemptResult{
 		sent: true, outcome: wharfoutcome.Done(),
 		routing: wharfrouting.Answered, report: reportOf(head),
 	}
-	var held bytes.Buffer
-	var sum wharfwire.BodySum
-	for held.Len() <= wholeBytes {
-		chunk, end, err := x.next(&sum)
+	held := answerBody{stream: x.stream}
+	for end, err := held.take(frame); ; end, err = held.next() {
 		if err != nil {
 			return x.brokenAnswer(err, head)
 		}
@@ -57,10 +56,12 @@
 			_, _ = x.call.w.Write(held.Bytes())
 			return x.delivered(result)
 		}
-		held.Write(chunk)
+		if held.Len() > wholeBytes {
+			break
+		}
 	}
 	x.writeHead(head, head.GetContentLength())
-	if !x.streamOn(&held, &sum, &result) {
+	if !x.streamOn(&held, &result) {
 		x.entry.Log.Emit(wharfevents.AnswerIncomplete, wharfevents.Field{Name: "target", Value: x.target.Address})
 		// The caller has a part already: breaking the connection off is the
 		// only way to tell it.
@@ -69,21 +70,30 @@
 	return x.delivered(result)
 }
 
-// next returns the next chunk of the answer, or its end if it is whole.
-func (x *transfer) next(sum *wharfwire.BodySum) ([]byte, *wharfwire.AnswerEnd, error) {
-	frame, err := x.stream.Recv()
+// answerBody collects the body of an answer from its frames.
+type answerBody struct {
+	bytes.Buffer
+	stream callClient
+	sum    wharfwire.BodySum
+}
+
+// next takes the next frame. The end is only returned if the body is whole.
+func (b *answerBody) next() (*wharfwire.AnswerEnd, error) {
+	frame, err := b.stream.Recv()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	if end := frame.GetEnd(); end != nil {
-		if !sum.Matches(end.GetBody()) {
-			return nil, nil, errSumMismatch
-		}
-		return nil, end, nil
+	return b.take(frame)
+}
+
+func (b *answerBody) take(frame *wharfwire.AnswerFrame) (*wharfwire.AnswerEnd, error) {
+	b.sum.Add(frame.GetChunk())
+	b.Write(frame.GetChunk())
+	end := frame.GetEnd()
+	if end != nil && !b.sum.Matches(end.GetBody()) {
+		return nil, errSumMismatch
 	}
-	chunk := frame.GetChunk()
-	sum.Add(chunk)
-	return chunk, nil, nil
+	return end, nil
 }
 
 // brokenAnswer is the result of an answer that ended before the caller got any
@@ -101,24 +111,23 @@
 }
 
 // streamOn passes a long answer on and reports whether all of it arrived.
-func (x *transfer) streamOn(held *bytes.Buffer, sum *wharfwire.BodySum, result *attemptResult) bool {
-	if _, err := x.call.w.Write(held.Bytes()); err != nil {
-		return false
-	}
+func (x *transfer) streamOn(held *answerBody, result *attemptResult) bool {
 	flush := http.NewResponseController(x.call.w)
 	for {
-		chunk, end, err := x.next(sum)
-		if err != nil {
+		if _, err := held.WriteTo(x.call.w); err != nil {
 			return false
 		}
-		if end != nil {
-			result.attemptsLeft = int(end.GetAttemptsLeft())
-			return true
-		}
-		if _, err := x.call.w.Write(chunk); err != nil {
+		_ = flush.Flush()
+		end, err := held.next()
+		if err != nil {
 			return false
 		}
-		_ = flush.Flush()
+		if end == nil {
+			continue
+		}
+		result.attemptsLeft = int(end.GetAttemptsLeft())
+		_, err = held.WriteTo(x.call.w)
+		return err == nil
 	}
 }
 
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -22,11 +22,14 @@
 
 // sendOutcome answers a call that has no answer of the target.
 func (s *Server) sendOutcome(c *call, o wharfoutcome.Outcome) error {
-	head := s.answerHead(c, o)
-	if err := c.stream.Send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Head{Head: head}}); err != nil {
-		return err
-	}
-	return s.sendEnd(c, &wharfwire.BodySum{}, int(c.head.GetAttempts()))
+	return s.sendWhole(c, s.answerHead(c, o), nil)
+}
+
+// sendWhole sends an answer that is at hand as one frame.
+func (s *Server) sendWhole(c *call, head *wharfwire.AnswerHead, body []byte) error {
+	var sum wharfwire.BodySum
+	sum.Add(body)
+	return c.stream.Send(&wharfwire.AnswerFrame{Head: head, Chunk: body, End: answerEnd(&sum, c.attemptsLeft())})
 }
 
 func (s *Server) answerHead(c *call, o wharfoutcome.Outcome) *wharfwire.AnswerHead {
@@ -43,9 +46,16 @@
 	return head
 }
 
-func (s *Server) sendEnd(c *call, sum *wharfwire.BodySum, attemptsLeft int) error {
-	end := &wharfwire.AnswerEnd{Body: sum.End(), AttemptsLeft: uint32(attemptsLeft)}
-	return c.stream.Send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_End{End: end}})
+func answerEnd(sum *wharfwire.BodySum, attemptsLeft int) *wharfwire.AnswerEnd {
+	return &wharfwire.AnswerEnd{Body: sum.End(), AttemptsLeft: uint32(attemptsLeft)}
+}
+
+// attemptsLeft returns the attempts that the call did not use.
+func (c *call) attemptsLeft() int {
+	if c.dispatched {
+		return c.below.Grant.Left()
+	}
+	return int(c.head.GetAttempts())
 }
 
 // sendKept answers a resend with the answer of the first send.
@@ -54,16 +64,7 @@
 	head.Status = int32(c.replay.Status)
 	head.ContentLength = int64(len(c.replay.Body))
 	head.Headers = PackAnswer(c.replay).GetHeaders()
-	if err := c.stream.Send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Head{Head: head}}); err != nil {
-		return err
-	}
-	var sum wharfwire.BodySum
-	sum.Add(c.replay.Body)
-	chunk := &wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Chunk{Chunk: c.replay.Body}}
-	if err := c.stream.Send(chunk); err != nil {
-		return err
-	}
-	return s.sendEnd(c, &sum, int(c.head.GetAttempts()))
+	return s.sendWhole(c, head, c.replay.Body)
 }
 
 // relay passes the answer of the target on while it comes in.
@@ -74,10 +75,9 @@
 	head.Headers = wharfwire.PackHeaders(response.Header)
 	head.ContentLength = response.ContentLength
 	kept := keptAnswer{answer: wharfhome.Answer{Status: response.StatusCode, Headers: UnpackAnswer(&wharfwire.KeptAnswer{Headers: head.GetHeaders()}).Headers}}
-	p := pipe{call: c, kept: &kept}
-	p.send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Head{Head: head}})
-	readErr := p.copy(response.Body)
-	attemptsLeft := s.settle(c)
+	p := pipe{call: c, kept: &kept, next: wharfwire.AnswerFrame{Head: head}}
+	readErr := p.copy(response)
+	s.settle(c)
 	if readErr != nil {
 		o := s.brokeOff(c, ctx, p.err != nil)
 		*result = resultOf(ctx, o)
@@ -94,9 +94,9 @@
 	s.finishKey(c, wharfoutcome.Done(), &kept.answer)
 	s.succeeded(c)
 	s.Metrics.Dispatch(c.head.GetClass(), wharfoutcome.Done())
-	if c.err = p.err; c.err == nil {
-		c.err = s.sendEnd(c, &p.sum, attemptsLeft)
-	}
+	p.next.End = answerEnd(&p.sum, c.attemptsLeft())
+	p.flush()
+	c.err = p.err
 	return wharfoutcome.Outcome{}, true
 }
 
@@ -124,34 +124,61 @@
 	call *call
 	sum  wharfwire.BodySum
 	kept *keptAnswer
+	// next is the frame that is sent next.
+	next wharfwire.AnswerFrame
 	err  error
 }
 
-func (p *pipe) send(frame *wharfwire.AnswerFrame) {
+// flush sends the next frame.
+func (p *pipe) flush() {
 	if p.err == nil {
-		p.err = p.call.stream.Send(frame)
+		p.err = p.call.stream.Send(&p.next)
 	}
+	p.next = wharfwire.AnswerFrame{}
 }
 
-func (p *pipe) copy(body io.Reader) error {
+// copy reads the body of an answer and sends it, but for the last frame. A
+// short answer is not sent in parts.
+func (p *pipe) copy(response *http.Response) error {
+	if response.ContentLength >= 0 && response.ContentLength <= wharfwire.ChunkSize {
+		return p.copyShort(response.Body, response.ContentLength)
+	}
+	p.flush()
 	for {
 		chunk := make([]byte, wharfwire.ChunkSize)
-		n, err := io.ReadAtLeast(body, chunk, 1)
-		if n > 0 {
-			p.sum.Add(chunk[:n])
-			if p.call.keyed {
-				p.kept.add(chunk[:n])
-			}
-			p.send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Chunk{Chunk: chunk[:n]}})
-		}
+		n, err := io.ReadAtLeast(response.Body, chunk, 1)
+		p.hold(chunk[:n])
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		p.flush()
 		if p.err != nil && !p.call.keyed {
 			return p.err
 		}
 	}
 }
+
+// copyShort reads a body of a known length. It fails if the body ends early.
+func (p *pipe) copyShort(body io.Reader, length int64) error {
+	chunk := make([]byte, length)
+	if _, err := io.ReadFull(body, chunk); err != nil {
+		return errAnswerBroken
+	}
+	p.hold(chunk)
+	return nil
+}
+
+// hold takes a chunk into the next frame.
+func (p *pipe) hold(chunk []byte) {
+	if len(chunk) == 0 {
+		return
+	}
+	p.sum.Add(chunk)
+	if p.call.keyed {
+		p.kept.add(chunk)
+	}
+	p.next.Chunk = chunk
+}
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -70,6 +70,7 @@
 	if o, ok := s.mayDispatch(c); !ok {
 		return o, false
 	}
+	c.dispatched = true
 	s.Ledger.Open(c.grant, wharfbudget.Entry{
 		Grant:    wharfbudget.NewGrant(int(c.head.GetAttempts())),
 		Deadline: c.deadline,
@@ -116,7 +117,7 @@
 		conn.got = true
 		conn.idle = info.IdleTime
 	}}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.head.GetMethod(), "http://"+c.target.info.Address+c.head.GetUri(), &callBody{stream: c.stream})
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.head.GetMethod(), "http://"+c.target.info.Address+c.head.GetUri(), c.body)
 	if err != nil {
 		// The sender's node parsed the same method and address before.
 		r = (&http.Request{Method: c.head.GetMethod(), Header: http.Header{}}).WithContext(ctx)
@@ -229,9 +230,8 @@
 }
 
 // settle closes the grant of the call and keeps what it says of those below.
-func (s *Server) settle(c *call) int {
+func (s *Server) settle(c *call) {
 	c.below = s.Ledger.Close(c.grant)
-	return c.below.Grant.Left()
 }
 
 func resultOf(ctx context.Context, o wharfoutcome.Outcome) wharfadmission.Result {
@@ -251,12 +251,35 @@
 	rest   []byte
 	sum    wharfwire.BodySum
 	ended  bool
+	err    error
+}
+
+// newCallBody returns the body of a call that began with a frame.
+func newCallBody(stream callStream, first *wharfwire.CallFrame) *callBody {
+	b := &callBody{stream: stream}
+	b.err = b.take(first)
+	return b
+}
+
+// take takes the part of the body that a frame carries.
+func (b *callBody) take(frame *wharfwire.CallFrame) error {
+	b.rest = frame.GetChunk()
+	b.sum.Add(b.rest)
+	end := frame.GetEnd()
+	if end == nil {
+		return nil
+	}
+	if !b.sum.Matches(end) {
+		return io.ErrUnexpectedEOF
+	}
+	b.ended = true
+	return nil
 }
 
 // Read returns the next bytes. The end is only reported after a closing frame
 // that matches.
 func (b *callBody) Read(p []byte) (int, error) {
-	for len(b.rest) == 0 {
+	for len(b.rest) == 0 && b.err == nil {
 		if b.ended {
 			return 0, io.EOF
 		}
@@ -264,15 +287,10 @@
 		if err != nil {
 			return 0, io.ErrUnexpectedEOF
 		}
-		if end := frame.GetEnd(); end != nil {
-			if !b.sum.Matches(end) {
-				return 0, io.ErrUnexpectedEOF
-			}
-			b.ended = true
-			continue
-		}
-		b.rest = frame.GetChunk()
-		b.sum.Add(b.rest)
+		b.err = b.take(frame)
+	}
+	if b.err != nil {
+		return 0, b.err
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -65,6 +65,7 @@
 	ctx         context.Context
 	head        *wharfwire.CallHead
 	stream      callStream
+	body        *callBody
 	config      *wharfconfig.Snapshot
 	arrived     time.Time
 	deadline    time.Time
@@ -75,6 +76,8 @@
 	keyed bool
 	key   wharfhome.KeyID
 	grant wharfbudget.GrantID
+	// dispatched says that the call has a grant in the ledger.
+	dispatched bool
 	// below is what the calls that the target made for this one have met.
 	below wharfbudget.Entry
 	// replay is the kept answer of an earlier send.
@@ -117,6 +120,7 @@
 		ctx:         ctx,
 		head:        head,
 		stream:      stream,
+		body:        newCallBody(stream, frame),
 		config:      s.View.Config(),
 		arrived:     now,
 		deadline:    now.Add(time.Duration(head.GetTimeoutMs()) * time.Millisecond),
@@ -206,7 +210,7 @@
 	if c.head.GetStreams() {
 		admitted := &wharfwire.Admitted{AttemptId: c.head.GetAttemptId()}
 		// A lost sender shows when the body is read.
-		_ = c.stream.Send(&wharfwire.AnswerFrame{Frame: &wharfwire.AnswerFrame_Admitted{Admitted: admitted}})
+		_ = c.stream.Send(&wharfwire.AnswerFrame{Admitted: admitted})
 	}
 	return o, true
 }
