Keep a home that leaves from taking its keys back, and let keys return

Cause: found by TestPlannedStopHandsKeysOver. After its release a node still had its target and announced its ownership again. And a key that had moved away and came back was closed at its first home, which then refused the record that it was handed. Ruled out: dropping closed keys when ownership returns; a request from before the move could then run beside its resend. Before: no hand-over ended; resends got 'home moved' or 'key closed'. Conclusion: closing holds for the epoch in which it was asked for.

--- a/wharf/wharfhome/home.go
+++ b/wharf/wharfhome/home.go
@@ -28,7 +28,7 @@
 	if !ok || !r.Owner.Same(h.Self) {
 		return Plan{Decision: refusal(wharfoutcome.Refuse(wharfoutcome.ReasonHomeMoved))}
 	}
-	d := h.Keys.Begin(now, id, fingerprint)
+	d := h.Keys.Begin(now, id, fingerprint, r.Since)
 	if d.Step != Take {
 		return Plan{Decision: d}
 	}
--- a/wharf/wharfhome/keys.go
+++ b/wharf/wharfhome/keys.go
@@ -66,6 +66,10 @@
 	Answer      *Answer
 	// Changed is when the entry came into its state.
 	Changed time.Time
+	// ClosedAt is the offset of the log at which a closed key was closed. A
+	// home that gains the key by a later move asks the homes in between, so
+	// for it the key is open again.
+	ClosedAt uint64
 }
 
 // Limits of the memory of Keys.
@@ -120,14 +124,14 @@
 	Outcome wharfoutcome.Outcome
 }
 
-// Begin decides on a request for a key.
-func (k *Keys) Begin(now time.Time, id KeyID, fingerprint uint64) Decision {
+// Begin decides on a request for a key that the home has had since an offset.
+func (k *Keys) Begin(now time.Time, id KeyID, fingerprint, since uint64) Decision {
 	s := k.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, known := s.entries[id]
-	if !known {
-		if s.full(id.Caller) {
+	if !known || e.State == Closed && e.ClosedAt < since {
+		if !known && s.full(id.Caller) {
 			return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyTableFull))
 		}
 		s.put(id, Entry{State: Waiting, Fingerprint: fingerprint, Changed: now})
@@ -219,9 +223,9 @@
 }
 
 // Close answers a question about a key, and makes sure that a key that hasn't
-// been dispatched never will be. The entry returned is Absent if the key has
-// not run here and never will.
-func (k *Keys) Close(now time.Time, id KeyID) Entry {
+// been dispatched never will be, unless the home gains it anew after the
+// offset. The entry returned is Absent if the key has not run here.
+func (k *Keys) Close(now time.Time, id KeyID, offset uint64) Entry {
 	s := k.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -229,7 +233,7 @@
 	if known && e.State != Waiting && e.State != Closed {
 		return e
 	}
-	s.put(id, Entry{State: Closed, Changed: now})
+	s.put(id, Entry{State: Closed, Changed: now, ClosedAt: max(offset, e.ClosedAt)})
 	return Entry{State: Absent}
 }
 
@@ -297,21 +301,20 @@
 	return out
 }
 
-// Import takes an entry that an earlier home hands over. What is known here
-// stays, because it is newer.
-func (k *Keys) Import(x Exported) bool {
+// Import takes an entry that an earlier home hands over. What has run here is
+// known better; what was closed here has run there.
+func (k *Keys) Import(x Exported) {
 	s := k.shard(x.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, known := s.entries[x.ID]
-	if known && e.State != Waiting {
-		return e.State != Closed
+	if known && e.State != Waiting && e.State != Closed {
+		return
 	}
 	if x.Entry.State == Running {
 		x.Entry.State = Lost
 	}
 	s.put(x.ID, x.Entry)
-	return true
 }
 
 // Len returns the number of keys.
--- a/wharf/wharfhome/resolve.go
+++ b/wharf/wharfhome/resolve.go
@@ -35,6 +35,8 @@
 // first time.
 type Resolution struct {
 	Owner Owner
+	// Since is the offset from which on the owner has had the key.
+	Since uint64
 	// Consult lists the earlier homes that have to close the key.
 	Consult []Owner
 	// Lost says that an earlier home is gone and took its records along.
@@ -51,7 +53,7 @@
 	if !ok {
 		return Resolution{}, false
 	}
-	r := Resolution{Owner: owner}
+	r := Resolution{Owner: owner, Since: h.ownedSince(owner, key)}
 	oldest := firstSendAfter(now, key, horizon)
 	for i := len(h.epochs) - 2; i >= 0; i-- {
 		lastRun := h.epochs[i+1].Start.Add(horizon.Staleness)
@@ -69,6 +71,20 @@
 	return r, true
 }
 
+// ownedSince returns the offset from which on an owner has had a key without a
+// break.
+func (h history) ownedSince(owner Owner, key string) uint64 {
+	since := h.present().Offset
+	for i := len(h.epochs) - 2; i >= 0; i-- {
+		earlier, ok := rendezvous(h.epochs[i].Owners, key)
+		if !ok || !earlier.Same(owner) {
+			break
+		}
+		since = h.epochs[i].Offset
+	}
+	return since
+}
+
 // firstSendAfter returns a time before which the key was not sent.
 func firstSendAfter(now time.Time, key string, horizon Horizon) time.Time {
 	oldest := now.Add(-horizon.Resend - horizon.Skew)
@@ -80,7 +96,7 @@
 }
 
 func (t *Table) addEarlier(r *Resolution, h history, earlier Owner, oldest time.Time) {
-	if _, handed := t.handed[lifeOf(earlier)]; handed {
+	if t.ended[lifeOf(earlier)].handedOver {
 		return
 	}
 	if slices.ContainsFunc(r.Consult, earlier.Same) {
--- a/wharf/wharfhome/table.go
+++ b/wharf/wharfhome/table.go
@@ -81,8 +81,16 @@
 // WithRecord returns a new one. A nil Table is empty.
 type Table struct {
 	services map[string]history
-	// handed holds the lives whose records were given away.
-	handed map[string]time.Time
+	// ended holds the lives that were released or evicted. They never own keys
+	// again.
+	ended map[string]ending
+}
+
+// ending is the end of a life's ownership.
+type ending struct {
+	at time.Time
+	// handedOver says that its records were given away.
+	handedOver bool
 }
 
 // Positioned is an ownership record with its place in the log.
@@ -94,10 +102,10 @@
 
 // WithRecords folds ownership records in the order of the log.
 func (t *Table) WithRecords(records []Positioned) *Table {
-	next := &Table{services: map[string]history{}, handed: map[string]time.Time{}}
+	next := &Table{services: map[string]history{}, ended: map[string]ending{}}
 	if t != nil {
 		next.services = maps.Clone(t.services)
-		next.handed = maps.Clone(t.handed)
+		next.ended = maps.Clone(t.ended)
 	}
 	for _, p := range records {
 		next.fold(p)
@@ -112,22 +120,41 @@
 	case Announce:
 		t.announce(p, owner)
 	case Release, Evict:
-		for _, service := range t.named(r) {
+		for _, service := range t.OwnedBy(owner) {
 			t.move(service, p, func(owners []Owner) []Owner {
 				return slices.DeleteFunc(owners, owner.Same)
 			})
 		}
+		t.end(p, owner, false)
 	case HandedOver:
-		t.handed[lifeOf(owner)] = p.Time
-		maps.DeleteFunc(t.handed, func(_ string, at time.Time) bool {
-			return p.Time.Sub(at) > keptHistory
-		})
+		t.end(p, owner, true)
+	}
+}
+
+// end records that a life owns keys no more.
+func (t *Table) end(p Positioned, owner Owner, handedOver bool) {
+	life := lifeOf(owner)
+	t.ended[life] = ending{p.Time, handedOver || t.ended[life].handedOver}
+	maps.DeleteFunc(t.ended, func(_ string, e ending) bool {
+		return p.Time.Sub(e.at) > keptHistory
+	})
+}
+
+// HasEnded reports whether a life was released or evicted.
+func (t *Table) HasEnded(owner Owner) bool {
+	if t == nil {
+		return false
 	}
+	_, ended := t.ended[lifeOf(owner)]
+	return ended
 }
 
-// announce sets the services of a life. An older life is refused, so that a
-// node that was replaced can't come back.
+// announce sets the services of a life. A life that has ended and one that is
+// older than the present one are refused, so that neither can come back.
 func (t *Table) announce(p Positioned, owner Owner) {
+	if t.HasEnded(owner) {
+		return
+	}
 	for service := range t.services {
 		present := t.services[service].present().Owners
 		stale := slices.ContainsFunc(present, func(o Owner) bool {
@@ -157,14 +184,6 @@
 	return slices.DeleteFunc(owners, func(o Owner) bool { return o.Node == node })
 }
 
-// named returns the services of a record, or all that its node owns.
-func (t *Table) named(r Record) []string {
-	if len(r.Services) > 0 {
-		return r.Services
-	}
-	return t.OwnedBy(Owner{Node: r.Node, Incarnation: r.Incarnation})
-}
-
 // OwnedBy returns the services that a life owns keys of.
 func (t *Table) OwnedBy(owner Owner) []string {
 	if t == nil {
@@ -237,16 +256,17 @@
 	Truncated bool    `json:"truncated,omitempty"`
 }
 
-// SavedLife is the stored form of a life whose records were given away.
+// SavedLife is the stored form of a life that has ended.
 type SavedLife struct {
-	Life string    `json:"life"`
-	At   time.Time `json:"at"`
+	Life       string    `json:"life"`
+	At         time.Time `json:"at"`
+	HandedOver bool      `json:"handed-over,omitempty"`
 }
 
 // Saved is the form of a table that is stored and sent.
 type Saved struct {
 	Services []SavedService `json:"services"`
-	Handed   []SavedLife    `json:"handed"`
+	Ended    []SavedLife    `json:"ended"`
 }
 
 // Save returns the stored form.
@@ -259,8 +279,8 @@
 		h := t.services[service]
 		saved.Services = append(saved.Services, SavedService{service, h.epochs, h.truncated})
 	}
-	for _, life := range slices.Sorted(maps.Keys(t.handed)) {
-		saved.Handed = append(saved.Handed, SavedLife{life, t.handed[life]})
+	for _, life := range slices.Sorted(maps.Keys(t.ended)) {
+		saved.Ended = append(saved.Ended, SavedLife{life, t.ended[life].at, t.ended[life].handedOver})
 	}
 	return saved
 }
@@ -271,8 +291,8 @@
 	for _, s := range saved.Services {
 		t.services[s.Service] = history{s.Epochs, s.Truncated}
 	}
-	for _, l := range saved.Handed {
-		t.handed[l.Life] = l.At
+	for _, l := range saved.Ended {
+		t.ended[l.Life] = ending{l.At, l.HandedOver}
 	}
 	return t
 }
--- a/wharf/wharfhome/table_test.go
+++ b/wharf/wharfhome/table_test.go
@@ -69,6 +69,9 @@
 		{"evicted", []Record{
 			announced("a", 1), announced("b", 1), {Kind: Evict, Node: "b", Incarnation: 1, By: "ops"},
 		}, 0, moved, "a", 1, false},
+		{"released life announces again", []Record{
+			announced("a", 1), announced("b", 1), {Kind: Release, Node: "b", Incarnation: 1}, announced("b", 1),
+		}, 0, moved, "a", 1, false},
 		{"older life announces late", []Record{announced("a", 2), announced("a", 1)}, 0, moved, "a", 0, false},
 	}
 	for _, tc := range tests {
--- a/wharf/wharflog/memory.go
+++ b/wharf/wharflog/memory.go
@@ -111,3 +111,13 @@
 	}
 	s.records = s.records[n:]
 }
+
+// DropBefore drops the records before an offset, as their expiry does.
+func (m *Memory) DropBefore(stream string, offset uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stream(stream)
+	for len(s.records) > 0 && s.records[0].Offset < offset {
+		s.records = s.records[1:]
+	}
+}
--- a/wharfnode/internal/wharfentry/respond.go
+++ b/wharfnode/internal/wharfentry/respond.go
@@ -88,7 +88,7 @@
 
 func (b *answerBody) take(frame *wharfwire.AnswerFrame) (*wharfwire.AnswerEnd, error) {
 	b.sum.Add(frame.GetChunk())
-	b.Write(frame.GetChunk())
+	_, _ = b.Write(frame.GetChunk())
 	end := frame.GetEnd()
 	if end != nil && !b.sum.Matches(end.GetBody()) {
 		return nil, errSumMismatch
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -249,6 +249,7 @@
 	}
 	r, err := client.Consult(ctx, &wharfwire.ConsultRequest{
 		Service: id.Service, Caller: id.Caller, Key: id.Key, Incarnation: owner.Incarnation,
+		StateOffset: m.View.State().Offset(),
 	})
 	if err != nil {
 		return wharfhome.Entry{}, err
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -49,6 +50,8 @@
 	audit auditTrail
 	// urgent asks for a round at once, because there is news.
 	urgent chan struct{}
+	// releasing says that a planned stop gives up the ownership of keys.
+	releasing atomic.Bool
 
 	mu          sync.Mutex
 	detector    wharfmember.Detector
--- a/wharfnode/internal/wharfmesh/ownership.go
+++ b/wharfnode/internal/wharfmesh/ownership.go
@@ -8,6 +8,7 @@
 	"github.com/samber/oops"
 
 	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
@@ -32,7 +33,8 @@
 
 func (o *ownership) run(ctx context.Context) {
 	pause := ownershipInterval
-	for wait(ctx, pause) {
+	for wait(ctx, pause) && !o.mesh.releasing.Load() {
+		o.startNewLife()
 		served, owned := o.mesh.served(), o.mesh.owned()
 		// A service without target keeps its keys here: the target may come
 		// back, and until then the home refuses.
@@ -48,6 +50,19 @@
 	}
 }
 
+// startNewLife raises the incarnation of a node that was evicted although it
+// lives. Its earlier life never owns keys again.
+func (o *ownership) startNewLife() {
+	if !o.mesh.View.State().Homes().HasEnded(o.mesh.View.Self()) {
+		return
+	}
+	o.mesh.UpdateSelf(func(self wharfmember.Member) wharfmember.Member {
+		self.Incarnation++
+		return self
+	})
+	o.mesh.Log.Emit(wharfevents.IncarnationMoved, wharfevents.Field{Name: "incarnation", Value: o.mesh.View.Incarnation()})
+}
+
 func (o *ownership) announce(ctx context.Context, services []string) bool {
 	self := o.mesh.View.Self()
 	record := wharfhome.Record{
@@ -129,6 +144,7 @@
 // Release ends the ownership of this node at a planned stop, and gives its
 // records to the next homes.
 func (m *Mesh) Release(ctx context.Context) error {
+	m.releasing.Store(true)
 	if len(m.owned()) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/wharfnode/internal/wharfserver/harness_test.go
@@ -0,0 +1,292 @@
+package wharfserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharflog"
+	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharfstate"
+	"ragwortwharf.dev/wharf/wharfstream"
+	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
+)
+
+// patience bounds the wait for something that must happen. It is far beyond
+// what is promised, because tests decide on outcomes and not on times.
+const patience = 30 * time.Second
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// faultyLog is the platform's log with troubles.
+type faultyLog struct {
+	wharflog.Memory
+	down atomic.Bool
+	lose atomic.Int32
+}
+
+func (f *faultyLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if f.down.Load() {
+		return 0, wharfstream.ErrUnavailable
+	}
+	offset, err := f.Memory.Append(ctx, stream, data)
+	if err == nil && f.lose.Add(-1) >= 0 {
+		return 0, wharfstream.ErrUncertain
+	}
+	return offset, err
+}
+
+func (f *faultyLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (wharfstream.Batch, error) {
+	if f.down.Load() {
+		return wharfstream.Batch{}, wharfstream.ErrUnavailable
+	}
+	return f.Memory.Read(ctx, stream, from, limit, min(wait, 100*time.Millisecond))
+}
+
+// publish appends a change with documents.
+func (f *faultyLog) publish(t *testing.T, id string, documents ...wharfconfig.Document) {
+	t.Helper()
+	change := wharfconfig.Change{ID: id, Author: "test"}
+	for _, d := range documents {
+		change.Edits = append(change.Edits, wharfconfig.Edit{Key: d.Key(), Document: &d})
+	}
+	data, err := wharfstate.Envelope{Change: &change}.Encode()
+	if err == nil {
+		_, err = f.Memory.Append(context.Background(), wharfstate.Stream, data)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// mesh is a log and some nodes in this process.
+type mesh struct {
+	t       *testing.T
+	log     *faultyLog
+	logURL  string
+	nodes   []*testNode
+	variant wharfsettings.Variant
+	// snapshotInterval is that of the nodes started from now on.
+	snapshotInterval time.Duration
+}
+
+type testNode struct {
+	*Node
+	caller, admin string
+	stop          context.CancelFunc
+	ended         chan struct{}
+}
+
+func newMesh(t *testing.T) *mesh {
+	t.Helper()
+	l := &faultyLog{}
+	server := httptest.NewServer(wharflog.Handler(l))
+	t.Cleanup(server.Close)
+	return &mesh{
+		t: t, log: l, logURL: server.URL, snapshotInterval: time.Hour,
+		variant: wharfsettings.Variant{Limiter: "aimd", QueueOrder: "adaptive", Levels: true, Retries: "budgeted"},
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a node in a failure domain.
+func (m *mesh) start(domain string) *testNode {
+	m.t.Helper()
+	s := wharfsettings.Settings{
+		CallerListen: freeAddress(m.t), NodeListen: freeAddress(m.t), AdminListen: freeAddress(m.t),
+		FailureDomain: domain, Region: "r", LogURL: m.logURL,
+		StopTimeout: patience, SnapshotInterval: m.snapshotInterval, TargetTimeout: time.Hour, Variant: m.variant,
+	}
+	for _, n := range m.nodes {
+		s.Seeds = append(s.Seeds, n.settings.Advertise)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &testNode{
+		Node: New(s.WithDefaults(), wharfevents.Log{}), stop: cancel, ended: make(chan struct{}),
+		caller: "http://" + s.CallerListen, admin: "http://" + s.AdminListen,
+	}
+	m.nodes = append(m.nodes, n)
+	go func() {
+		defer close(n.ended)
+		if err := n.Run(ctx); err != nil {
+			m.t.Error(err)
+		}
+	}()
+	m.t.Cleanup(func() {
+		cancel()
+		<-n.ended
+	})
+	eventually(m.t, "node serves", func() bool {
+		r, err := http.Get(n.admin + "/wharf/v1/status")
+		if err != nil {
+			return false
+		}
+		_ = r.Body.Close()
+		return true
+	})
+	return n
+}
+
+// announce makes a server the target of a service on a node.
+func (m *mesh) announce(n *testNode, service, address string) {
+	m.t.Helper()
+	body, _ := json.Marshal(wharfmember.Target{Service: service, Address: address, Slots: 20})
+	r, err := http.Post(n.admin+"/wharf/v1/targets", "application/json", bytes.NewReader(body))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		m.t.Fatal(r.Status)
+	}
+}
+
+// serve starts a target on a node and waits until all nodes know it and its
+// node is a home of keys.
+func (m *mesh) serve(n *testNode, service string, handler http.HandlerFunc) *httptest.Server {
+	m.t.Helper()
+	server := httptest.NewServer(handler)
+	m.t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	m.announce(n, service, address)
+	eventually(m.t, "target is known everywhere", func() bool {
+		for _, other := range m.nodes {
+			found := false
+			for _, target := range other.view.Targets(service) {
+				found = found || target.Address == address
+			}
+			owned := false
+			for _, o := range other.view.State().Homes().Owners(service) {
+				owned = owned || o.Node == n.view.Node()
+			}
+			if !found || !m.log.down.Load() && !owned {
+				return false
+			}
+		}
+		return true
+	})
+	return server
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	err     error
+}
+
+// request is what a caller sends.
+type request struct {
+	method  string
+	path    string
+	service string
+	key     string
+	body    string
+	headers [][2]string
+}
+
+func (n *testNode) send(q request) reply {
+	if q.method == "" {
+		q.method = http.MethodGet
+	}
+	r, err := http.NewRequest(q.method, n.caller+"/"+strings.TrimPrefix(q.path, "/"), strings.NewReader(q.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set(wharfwire.HeaderService, q.service)
+	if q.key != "" {
+		r.Header.Set(wharfwire.HeaderIdempotencyKey, q.key)
+	}
+	for _, h := range q.headers {
+		r.Header.Set(h[0], h[1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{
+		status: response.StatusCode, body: string(body), err: err,
+		outcome: response.Header.Get(wharfwire.HeaderOutcome), reason: response.Header.Get(wharfwire.HeaderReason),
+	}
+}
+
+// effects counts how often each key took effect.
+type effects struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (e *effects) add(key string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.counts == nil {
+		e.counts = map[string]int{}
+	}
+	e.counts[key]++
+	return e.counts[key]
+}
+
+func (e *effects) get(key string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts[key]
+}
+
+// book counts the effect of each key and answers with it.
+func (e *effects) book(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(wharfwire.HeaderIdempotencyKey)
+	_, _ = fmt.Fprintf(w, "booked %s, effect %d", key, e.add(key))
+}
+
+func hello(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "hello")
+}
+
+// breakOff ends the connection without an answer.
+func breakOff(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// expireBefore drops the records before an offset, as retention does.
+func (f *faultyLog) expireBefore(offset uint64) {
+	f.DropBefore(wharfstate.Stream, offset)
+}
--- a/wharfnode/internal/wharftarget/home.go
+++ b/wharfnode/internal/wharftarget/home.go
@@ -24,7 +24,7 @@
 	c.keyed = true
 	if c.head.GetKeyMinted() {
 		c.key = MintedKey(c.head.GetAttemptId())
-		return s.step(c, s.Keys.Begin(time.Now(), c.key, c.head.GetFingerprint()))
+		return s.step(c, s.Keys.Begin(time.Now(), c.key, c.head.GetFingerprint(), 0))
 	}
 	c.key = wharfhome.KeyID{Service: c.head.GetService(), Caller: c.head.GetCaller(), Key: c.head.GetKey()}
 	for {
--- a/wharfnode/internal/wharftarget/peer.go
+++ b/wharfnode/internal/wharftarget/peer.go
@@ -18,7 +18,8 @@
 		return nil, status.Error(codes.FailedPrecondition, "this life of the node does not have the records asked for")
 	}
 	id := wharfhome.KeyID{Service: r.GetService(), Caller: r.GetCaller(), Key: r.GetKey()}
-	return packEntry(s.Keys.Close(time.Now(), id)), nil
+	offset := max(r.GetStateOffset(), s.View.State().Offset())
+	return packEntry(s.Keys.Close(time.Now(), id, offset)), nil
 }
 
 // Suspect takes what another node knows of requests that crash targets.
@@ -29,7 +30,6 @@
 
 // HandOver takes the records of keys of a home that is leaving.
 func (s *Server) HandOver(_ context.Context, r *wharfwire.HandOverRequest) (*wharfwire.HandOverResponse, error) {
-	accepted := uint32(0)
 	for _, k := range r.GetRecords() {
 		x := wharfhome.Exported{
 			ID: wharfhome.KeyID{Service: k.GetService(), Caller: k.GetCaller(), Key: k.GetKey()},
@@ -40,12 +40,10 @@
 				Changed:     time.Now().Add(-time.Duration(k.GetAgeMs()) * time.Millisecond),
 			},
 		}
-		if s.Keys.Import(x) {
-			accepted++
-		}
+		s.Keys.Import(x)
 		s.joiners.wake(x.ID)
 	}
-	return &wharfwire.HandOverResponse{Accepted: accepted}, nil
+	return &wharfwire.HandOverResponse{Accepted: uint32(len(r.GetRecords()))}, nil
 }
 
 // PackSuspicions returns the message form of quarantine entries.
