--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Measures what docs/CAPACITY.md is worked out from: the cost of decisions over
+# their size, and what idle nodes spend on control.
+#
+# Usage: capacity.sh [NODES...]; the numbers of idle nodes, 12 24 36 by default.
+set -euo pipefail
+base_port=${BASE_PORT:-26000}
+# shellcheck source=scripts/cluster.sh
+source "$(dirname "$0")/cluster.sh"
+root="$(cd "$(dirname "$0")/.." && pwd)"
+
+(cd "$root/wharf" && go test -run '^$' -bench . -benchtime 300ms ./... | grep -E '^Benchmark')
+
+ticks=$(getconf CLK_TCK)
+cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+rss_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+metric() { curl -s "$1/metrics" | awk -v m="$2" 'index($1, m) == 1 {s += $2} END {print s + 0}'; }
+
+idle() {
+  local n=$1 domains=(domain-a domain-b domain-c domain-d domain-e domain-f) i port admins=() nodes=()
+  stop_all
+  seeds=""
+  base_port=$((base_port + 800))
+  start_log
+  for i in $(seq 1 "$n"); do
+    port=$((base_port + 10 * i))
+    "$bin/wharfnode" --caller-listen "127.0.0.1:$port" --node-listen "127.0.0.1:$((port + 1))" \
+      --admin-listen "127.0.0.1:$((port + 2))" --failure-domain "${domains[$((i % 6))]}" --log-url "$log_url" \
+      ${seeds:+--seeds "$seeds"} >"$run_dir/idle-$i.out" 2>&1 &
+    pids+=($!)
+    nodes+=($!)
+    admins+=("http://127.0.0.1:$((port + 2))")
+    if [ "$i" -le 3 ]; then
+      wait_for "127.0.0.1:$((port + 2))"
+      seeds="${seeds:+$seeds,}127.0.0.1:$((port + 1))"
+    fi
+  done
+  sleep 8
+  "$bin/wharfstandin" spread --log-url "$log_url" --nodes "$(join_by_comma "${admins[@]}")"
+  sleep 2
+  local cpu=0 sent=0 rss=0 cpu0=0 sent0=0 span=20
+  for i in "${!nodes[@]}"; do
+    cpu0=$((cpu0 + $(cpu_ticks "${nodes[$i]}")))
+    sent0=$((sent0 + $(metric "${admins[$i]}" wharf_control_bytes_total)))
+  done
+  sleep "$span"
+  for i in "${!nodes[@]}"; do
+    cpu=$((cpu + $(cpu_ticks "${nodes[$i]}")))
+    sent=$((sent + $(metric "${admins[$i]}" wharf_control_bytes_total)))
+    rss=$((rss + $(rss_kb "${nodes[$i]}")))
+  done
+  awk -v n="$n" -v c=$((cpu - cpu0)) -v b=$((sent - sent0)) -v r="$rss" -v s="$span" -v t="$ticks" 'BEGIN {
+    printf "%d idle nodes: %.2f%% of a core, %.0f B/s of control payload, %.1f MB resident, each\n",
+      n, 100 * c / t / s / n, b / s / n, r / 1024 / n }'
+}
+
+if [ $# -eq 0 ]; then set -- 12 24 36; fi
+for n in "$@"; do idle "$n"; done
--- a/wharf/wharfmember/member_test.go
+++ b/wharf/wharfmember/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -157,3 +158,47 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the memory of a table.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1_000, 4_000, 17_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := heap()
+			var table Table
+			for i := range n {
+				table.Merge(someMember(i))
+			}
+			after := heap()
+			for b.Loop() {
+				runtime.KeepAlive(&table)
+			}
+			b.ReportMetric(float64(after-before)/1e6, "MB")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkDiffering finds the entries that a partner lacks.
+func BenchmarkDiffering(b *testing.B) {
+	for _, n := range []int{1_000, 4_000, 17_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var table, partner Table
+			for i := range n {
+				table.Merge(someMember(i))
+				if i > 0 {
+					partner.Merge(someMember(i))
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Differing(partner.Digests(), 0, 512)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/wharf/wharfstate/capacity_test.go
@@ -0,0 +1,95 @@
+package wharfstate
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+// capacitySizes are the numbers of rules that slopes are measured at.
+var capacitySizes = []int{500, 2_000, 8_000}
+
+// ruleChange returns a record that adds a rule for a service.
+func ruleChange(b *testing.B, offset uint64) wharfstream.Record {
+	doc := &wharfconfig.Document{
+		Kind: wharfconfig.KindRule, Name: fmt.Sprint("rule-", offset),
+		Selector: fmt.Sprintf("service=service-%d,work=read", offset%1900), Class: "reads",
+	}
+	change := &wharfconfig.Change{ID: fmt.Sprint(offset), Author: "bench", Edits: []wharfconfig.Edit{{Key: doc.Key(), Document: doc}}}
+	return wharfstream.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: encode(b, Envelope{Change: change})}
+}
+
+func stateWithRules(b *testing.B, n int) *State {
+	records := make([]wharfstream.Record, 0, n)
+	for i := range n {
+		records = append(records, ruleChange(b, uint64(i+1)))
+	}
+	return (*State)(nil).WithRecords(records)
+}
+
+// BenchmarkChange folds one change into a state with many rules.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range capacitySizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := stateWithRules(b, n)
+			next := []wharfstream.Record{ruleChange(b, s.Offset()+1)}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.WithRecords(next)
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot stores and loads a state with many rules and owners.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range capacitySizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := stateWithRules(b, n)
+			data, err := s.Save()
+			for b.Loop() {
+				if err == nil {
+					_, err = Load(data)
+				}
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
+
+// BenchmarkMemory reports the memory of a state with many rules and owners.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1_000, 4_000, 17_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := heap()
+			s := stateWithRules(b, n/2)
+			var homes []wharfstream.Record
+			for i := range n {
+				r := wharfhome.Record{Kind: wharfhome.Announce, Node: fmt.Sprintf("domain-%d/10.0.0.%d:7001", i%6, i), Incarnation: 1, Address: "10.0.0.1:7001", Services: []string{fmt.Sprint("service-", i%1900)}}
+				homes = append(homes, wharfstream.Record{Offset: s.Offset() + uint64(i+1), Data: encode(b, Envelope{Home: &r})})
+			}
+			s = s.WithRecords(homes)
+			homes = nil
+			after := heap()
+			for b.Loop() {
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(after-before)/1e6, "MB")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/wharfctl/audit.go
+++ b/wharfctl/audit.go
@@ -38,36 +38,31 @@
 
 // Run prints the trail, the oldest first.
 func (c *auditCommand) Run(ctx context.Context, t *terminal) error {
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	records, err := publisher.Records(ctx, wharfstate.Stream)
-	if err != nil {
-		return err
-	}
-	acts, err := publisher.Records(ctx, wharfstate.AuditStream)
-	if err != nil {
-		return err
-	}
-	lines := slices.Concat(ownershipLines(records), actLines(acts))
-	for _, v := range state.Config().Verdicts() {
-		verdict := "accepted"
-		if !v.Accepted {
-			verdict = "rejected"
+	return c.do(ctx, func(ctx context.Context, s session) error {
+		records, err := s.publisher.Records(ctx, wharfstate.Stream)
+		if err != nil {
+			return err
 		}
-		lines = append(lines, auditLine{v.Time, fmt.Sprintf("%s changed %s: %s at offset %d", v.Author, joinKeys(v.Keys), verdict, v.Offset)})
-	}
-	slices.SortStableFunc(lines, func(a, b auditLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
-	for _, l := range lines {
-		t.printf("%s  %s\n", l.at.UTC().Format(time.RFC3339), l.text)
+		acts, err := s.publisher.Records(ctx, wharfstate.AuditStream)
+		if err != nil {
+			return err
+		}
+		lines := slices.Concat(ownershipLines(records), actLines(acts), changeLines(s.state))
+		slices.SortStableFunc(lines, func(a, b auditLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+		for _, l := range lines {
+			t.printf("%s  %s\n", l.at.UTC().Format(time.RFC3339), l.text)
+		}
+		return nil
+	})
+}
+
+// changeLines describes the changes of operators.
+func changeLines(state *wharfstate.State) []auditLine {
+	var out []auditLine
+	for _, v := range state.Config().Verdicts() {
+		out = append(out, auditLine{v.Time, fmt.Sprintf("%s changed %s: %s at offset %d", v.Author, joinKeys(v.Keys), verdictOf(v), v.Offset)})
 	}
-	return nil
+	return out
 }
 
 // ownershipLines describes the moves of the ownership of keys.
--- a/wharfctl/delete.go
+++ b/wharfctl/delete.go
@@ -6,29 +6,32 @@
 
 	"ragwortwharf.dev/wharf/wharfcli"
 	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharfctl/internal/wharfpublish"
 )
 
 // deleteCommand publishes the removal of objects.
 type deleteCommand struct {
-	logAccess
-	authorship
+	changeAccess
 	Objects []string `arg:"" help:"Objects as KIND/NAME."`
 }
 
 // Run publishes the removal and says whether it was accepted.
 func (c *deleteCommand) Run(ctx context.Context, t *terminal) error {
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	var faults wharfcli.Faults
+	return c.do(ctx, func(ctx context.Context, s session) error {
+		keys, faults := c.keys(s.state)
+		if len(faults) > 0 {
+			return wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
+		}
+		deletion := wharfpublish.Deletion(s.state, c.Author, c.Note, c.Base, keys)
+		return t.report(s.publisher.Publish(ctx, s.state, deletion))
+	})
+}
+
+// keys returns the objects to remove, and a fault for each that isn't there.
+func (c *deleteCommand) keys(state *wharfstate.State) ([]wharfconfig.ObjectKey, wharfcli.Faults) {
 	var keys []wharfconfig.ObjectKey
+	var faults wharfcli.Faults
 	for _, o := range c.Objects {
 		kind, name, _ := strings.Cut(o, "/")
 		key := wharfconfig.ObjectKey{Kind: wharfconfig.Kind(kind), Name: name}
@@ -37,8 +40,5 @@
 		}
 		keys = append(keys, key)
 	}
-	if len(faults) > 0 {
-		return wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
-	}
-	return t.report(publisher.Publish(ctx, state, wharfpublish.Deletion(state, c.Author, c.Note, c.Base, keys)))
+	return keys, faults
 }
--- a/wharfctl/evict.go
+++ b/wharfctl/evict.go
@@ -8,10 +8,9 @@
 
 // evictCommand ends the ownership of a node that is gone.
 type evictCommand struct {
-	logAccess
+	changeAccess
 	nodeAccessForEviction
-	Author string `required:"" env:"WHARF_AUTHOR" help:"Who evicts, for the audit trail."`
-	ID     string `arg:"" help:"Id of the node, as FAILURE-DOMAIN/IP:port."`
+	ID string `arg:"" help:"Id of the node, as FAILURE-DOMAIN/IP:port."`
 }
 
 // nodeAccessForEviction names a node that is asked whether the one to evict is
@@ -31,27 +30,20 @@
 
 // Run writes the eviction, unless others still hear the node.
 func (c *evictCommand) Run(ctx context.Context, t *terminal) error {
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var members []memberState
-	if err := (nodeAccess{Node: c.Node, Timeout: c.Timeout}).get(ctx, "/wharf/v1/members", nil, &members); err != nil {
-		return err
-	}
-	for _, m := range members {
-		if m.Node == c.ID && m.State < stateDown {
-			return oops.Code("still-heard").Errorf("node %s is still heard by others; stop it instead", c.ID)
+	return c.do(ctx, func(ctx context.Context, s session) error {
+		var members []memberState
+		if err := (nodeAccess{Node: c.Node, Timeout: c.Timeout}).get(ctx, "/wharf/v1/members", nil, &members); err != nil {
+			return err
 		}
-	}
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	if err := publisher.Evict(ctx, state, c.Author, c.ID); err != nil {
-		return err
-	}
-	t.printf("evicted %s\n", c.ID)
-	return nil
+		for _, m := range members {
+			if m.Node == c.ID && m.State < stateDown {
+				return oops.Code("still-heard").Errorf("node %s is still heard by others; stop it instead", c.ID)
+			}
+		}
+		if err := s.publisher.Evict(ctx, s.state, c.Author, c.ID); err != nil {
+			return err
+		}
+		t.printf("evicted %s\n", c.ID)
+		return nil
+	})
 }
--- a/wharfctl/explain.go
+++ b/wharfctl/explain.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"ragwortwharf.dev/wharf/wharfcli"
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharfctl/internal/wharfpublish"
 )
@@ -49,21 +48,18 @@
 func (c *explainCommand) config(ctx context.Context) (*wharfconfig.Snapshot, error) {
 	var config *wharfconfig.Snapshot
 	if c.LogURL != "" {
-		publisher, ctx, cancel, err := logAccess{LogURL: c.LogURL, Timeout: c.Timeout}.open(ctx)
+		err := logAccess{LogURL: c.LogURL, Timeout: c.Timeout}.do(ctx, func(_ context.Context, s session) error {
+			config = s.state.Config()
+			return nil
+		})
 		if err != nil {
 			return nil, err
 		}
-		defer cancel()
-		state, err := publisher.State(ctx)
-		if err != nil {
-			return nil, err
-		}
-		config = state.Config()
 	}
 	docs, faults := readFiles(c.Files)
 	faults = append(faults, wharfconfig.Validate(docs, config)...)
 	if len(faults) > 0 {
-		return nil, wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
+		return nil, invalid(faults)
 	}
 	return withDocuments(config, docs), nil
 }
--- a/wharfctl/history.go
+++ b/wharfctl/history.go
@@ -16,21 +16,14 @@
 
 // Run prints one line for each change, the oldest first.
 func (c *historyCommand) Run(ctx context.Context, t *terminal) error {
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	for _, v := range state.Config().Verdicts() {
-		if c.concerns(v) {
-			t.printVerdict(v)
+	return c.do(ctx, func(_ context.Context, s session) error {
+		for _, v := range s.state.Config().Verdicts() {
+			if c.concerns(v) {
+				t.printVerdict(v)
+			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 func (c *historyCommand) concerns(v wharfconfig.Verdict) bool {
@@ -47,12 +40,15 @@
 	return false
 }
 
-func (t *terminal) printVerdict(v wharfconfig.Verdict) {
-	verdict := "accepted"
-	if !v.Accepted {
-		verdict = "rejected"
+func verdictOf(v wharfconfig.Verdict) string {
+	if v.Accepted {
+		return "accepted"
 	}
-	t.printf("%s  offset %d  %s  %s  %s", v.Time.UTC().Format(time.RFC3339), v.Offset, v.Author, verdict, joinKeys(v.Keys))
+	return "rejected"
+}
+
+func (t *terminal) printVerdict(v wharfconfig.Verdict) {
+	t.printf("%s  offset %d  %s  %s  %s", v.Time.UTC().Format(time.RFC3339), v.Offset, v.Author, verdictOf(v), joinKeys(v.Keys))
 	if v.Note != "" {
 		t.printf("  (%s)", v.Note)
 	}
--- a/wharfctl/label.go
+++ b/wharfctl/label.go
@@ -12,41 +12,33 @@
 
 // labelCommand changes the labels that operators give a target.
 type labelCommand struct {
-	logAccess
-	authorship
+	changeAccess
 	Target string   `arg:"" help:"IP:port of the target."`
 	Labels []string `arg:"" help:"KEY=VALUE to set a label, KEY- to remove it."`
 }
 
 // Run publishes the labels and says whether they were accepted.
 func (c *labelCommand) Run(ctx context.Context, t *terminal) error {
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	document := wharfconfig.Document{Kind: wharfconfig.KindTargetLabel, Name: c.Target, Target: c.Target}
-	if current, ok := state.Config().Object(document.Key()); ok {
-		document = *current.Document
-	}
-	document.Labels, err = applyLabels(document.Labels, c.Labels)
-	if err != nil {
-		return err
-	}
-	faults := wharfconfig.Validate([]wharfconfig.Located{{Document: document, File: "label"}}, state.Config())
-	if len(faults) > 0 {
-		return invalid(faults)
-	}
-	change := wharfpublish.Change(state, c.Author, c.Note, c.Base, []wharfconfig.Document{document})
-	if len(change.Edits) == 0 {
-		t.printf("nothing to publish: the labels are in force\n")
-		return nil
-	}
-	return t.report(publisher.Publish(ctx, state, change))
+	return c.do(ctx, func(ctx context.Context, s session) error {
+		document := wharfconfig.Document{Kind: wharfconfig.KindTargetLabel, Name: c.Target, Target: c.Target}
+		if current, ok := s.state.Config().Object(document.Key()); ok {
+			document = *current.Document
+		}
+		var err error
+		if document.Labels, err = applyLabels(document.Labels, c.Labels); err != nil {
+			return err
+		}
+		faults := wharfconfig.Validate([]wharfconfig.Located{{Document: document, File: "label"}}, s.state.Config())
+		if len(faults) > 0 {
+			return invalid(faults)
+		}
+		change := wharfpublish.Change(s.state, c.Author, c.Note, c.Base, []wharfconfig.Document{document})
+		if len(change.Edits) == 0 {
+			t.printf("nothing to publish: the labels are in force\n")
+			return nil
+		}
+		return t.report(s.publisher.Publish(ctx, s.state, change))
+	})
 }
 
 // applyLabels returns the labels with settings of the form KEY=VALUE or KEY-.
--- a/wharfctl/publish.go
+++ b/wharfctl/publish.go
@@ -9,36 +9,28 @@
 
 // publishCommand publishes files.
 type publishCommand struct {
-	logAccess
-	authorship
+	changeAccess
 	Files []string `arg:"" help:"Configuration files."`
 }
 
 // Run checks the files against what is in force, publishes what differs and
 // says whether it was accepted.
 func (c *publishCommand) Run(ctx context.Context, t *terminal) error {
-	docs, faults := readFiles(c.Files)
-	publisher, ctx, cancel, err := c.open(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	state, err := publisher.State(ctx)
-	if err != nil {
-		return err
-	}
-	faults = append(faults, wharfconfig.Validate(docs, state.Config())...)
-	if len(faults) > 0 {
-		return invalid(faults)
-	}
-	documents := make([]wharfconfig.Document, len(docs))
-	for i, d := range docs {
-		documents[i] = d.Document
-	}
-	change := wharfpublish.Change(state, c.Author, c.Note, c.Base, documents)
-	if len(change.Edits) == 0 {
-		t.printf("nothing to publish: all %d documents are in force\n", len(docs))
-		return nil
-	}
-	return t.report(publisher.Publish(ctx, state, change))
+	return c.do(ctx, func(ctx context.Context, s session) error {
+		docs, faults := readFiles(c.Files)
+		faults = append(faults, wharfconfig.Validate(docs, s.state.Config())...)
+		if len(faults) > 0 {
+			return invalid(faults)
+		}
+		documents := make([]wharfconfig.Document, len(docs))
+		for i, d := range docs {
+			documents[i] = d.Document
+		}
+		change := wharfpublish.Change(s.state, c.Author, c.Note, c.Base, documents)
+		if len(change.Edits) == 0 {
+			t.printf("nothing to publish: all %d documents are in force\n", len(docs))
+			return nil
+		}
+		return t.report(s.publisher.Publish(ctx, s.state, change))
+	})
 }
--- /dev/null
+++ b/wharfctl/script_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"ragwortwharf.dev/wharf/wharflog"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"wharfctl": func() { os.Exit(run()) }})
+}
+
+// scriptLog is the platform's log of one script. Its clock stands still.
+type scriptLog struct {
+	wharflog.Memory
+	down atomic.Bool
+	lose atomic.Int32
+	// swallow makes appends vanish without an answer.
+	swallow atomic.Bool
+}
+
+func (l *scriptLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if l.down.Load() {
+		return 0, wharfstream.ErrUnavailable
+	}
+	if l.swallow.Load() {
+		return 0, wharfstream.ErrUncertain
+	}
+	offset, err := l.Memory.Append(ctx, stream, data)
+	if err == nil && l.lose.Add(-1) >= 0 {
+		return 0, wharfstream.ErrUncertain
+	}
+	return offset, err
+}
+
+func (l *scriptLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (wharfstream.Batch, error) {
+	if l.down.Load() {
+		return wharfstream.Batch{}, wharfstream.ErrUnavailable
+	}
+	return l.Memory.Read(ctx, stream, from, limit, wait)
+}
+
+type logKey struct{}
+
+// faultCommand is the script command "fault down|up|lose N|swallow".
+func faultCommand(ts *testscript.TestScript, _ bool, args []string) {
+	l := ts.Value(logKey{}).(*scriptLog)
+	switch args[0] {
+	case "down":
+		l.down.Store(true)
+	case "up":
+		l.down.Store(false)
+		l.swallow.Store(false)
+	case "swallow":
+		l.swallow.Store(true)
+	case "lose":
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		l.lose.Store(int32(n))
+	default:
+		ts.Fatalf("unknown fault %s", args[0])
+	}
+}
+
+// appendCommand is the script command "append STREAM FILE".
+func appendCommand(ts *testscript.TestScript, _ bool, args []string) {
+	l := ts.Value(logKey{}).(*scriptLog)
+	_, err := l.Memory.Append(context.Background(), args[0], []byte(ts.ReadFile(args[1])))
+	ts.Check(err)
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			l := &scriptLog{}
+			l.Now = func() time.Time { return time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC) }
+			server := httptest.NewServer(wharflog.Handler(l))
+			env.Defer(server.Close)
+			node := httptest.NewServer(nodeStub(env.WorkDir))
+			env.Defer(node.Close)
+			env.Values[logKey{}] = l
+			env.Setenv("WHARF_LOG_URL", server.URL)
+			env.Setenv("WHARF_NODE_ADMIN", node.URL)
+			env.Setenv("WHARF_AUTHOR", "ann")
+			env.Setenv("WHARF_TIMEOUT", "3s")
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"fault": faultCommand, "append": appendCommand},
+	})
+}
+
+// nodeStub answers as the admin API of a node, from files of the script.
+func nodeStub(dir string) http.Handler {
+	mux := http.NewServeMux()
+	serve := func(path, file string) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+			data, err := os.ReadFile(dir + "/" + file)
+			if err != nil {
+				http.Error(w, "no answer prepared", http.StatusNotFound)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, string(data))
+		})
+	}
+	serve("/wharf/v1/status", "status.json")
+	serve("/wharf/v1/members", "members.json")
+	return mux
+}
--- a/wharfctl/terminal.go
+++ b/wharfctl/terminal.go
@@ -11,6 +11,7 @@
 	"ragwortwharf.dev/wharf/wharfcli"
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharf/wharflog"
+	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharfctl/internal/wharfpublish"
 )
 
@@ -29,15 +30,42 @@
 	Timeout time.Duration `default:"10s" env:"WHARF_TIMEOUT" help:"Longest wait for the log."`
 }
 
-func (a logAccess) open(ctx context.Context) (wharfpublish.Publisher, context.Context, context.CancelFunc, error) {
+// session is the log as a command finds it.
+type session struct {
+	publisher wharfpublish.Publisher
+	state     *wharfstate.State
+}
+
+// do reads the state from the log and hands it to a command.
+func (a logAccess) do(ctx context.Context, command func(ctx context.Context, s session) error) error {
 	var faults wharfcli.Faults
 	faults.URL("log-url", a.LogURL)
 	faults.AtLeast("timeout", a.Timeout, time.Second)
 	if len(faults) > 0 {
-		return wharfpublish.Publisher{}, nil, nil, wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
+		return wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
-	return wharfpublish.Publisher{Platform: wharflog.NewClient(a.LogURL)}, ctx, cancel, nil
+	defer cancel()
+	s := session{publisher: wharfpublish.Publisher{Platform: wharflog.NewClient(a.LogURL)}}
+	var err error
+	if s.state, err = s.publisher.State(ctx); err != nil {
+		return err
+	}
+	return command(ctx, s)
+}
+
+// changeAccess is what commands need that change something.
+type changeAccess struct {
+	logAccess
+	authorship
+}
+
+// do reads the state from the log and hands it to a command of an author.
+func (a changeAccess) do(ctx context.Context, command func(ctx context.Context, s session) error) error {
+	if a.Author == "" {
+		return wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: wharfcli.Faults{"--author: is empty"}}
+	}
+	return a.logAccess.do(ctx, command)
 }
 
 // authorship says who makes a change, and against what.
--- /dev/null
+++ b/wharfnode/internal/wharfprocess/cluster_test.go
@@ -0,0 +1,275 @@
+package wharfprocess
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfwire"
+)
+
+// patience bounds the wait for something that must happen.
+const patience = 40 * time.Second
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// process is a program that was started, and can be started again.
+type process struct {
+	t       *testing.T
+	program string
+	args    []string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	output  bytes.Buffer
+	ended   chan struct{}
+}
+
+func startProcess(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	path, err := filepath.Abs("../../../bin/" + program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Fatalf("%v; run make build first", err)
+	}
+	p := &process{t: t, program: path, args: args}
+	p.start()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", program, args, p.output.String())
+		}
+	})
+	return p
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Stdout, cmd.Stderr = &p.output, &p.output
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended = cmd, ended
+	p.mu.Unlock()
+	go func() {
+		// The exit code of a process that was killed says nothing.
+		_ = cmd.Wait()
+		close(ended)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	// A process that has ended already can't be signalled.
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) restart() {
+	p.kill()
+	p.start()
+}
+
+// vm is a node with its target.
+type vm struct {
+	node, target          *process
+	id                    string
+	caller, admin, worker string
+}
+
+// cluster is a log and some VMs as processes.
+type cluster struct {
+	t      *testing.T
+	logURL string
+	vms    []*vm
+	seeds  []string
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	address := freeAddress(t)
+	c := &cluster{t: t, logURL: "http://" + address}
+	startProcess(t, "wharfstandin", "log", "--listen", address)
+	c.await(address)
+	return c
+}
+
+func (c *cluster) await(address string) {
+	c.t.Helper()
+	eventually(c.t, address+" listens", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+}
+
+func (c *cluster) startVM(domain, service string, targetArgs ...string) *vm {
+	c.t.Helper()
+	caller, node, admin, worker := freeAddress(c.t), freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	args := []string{
+		"--caller-listen", caller, "--node-listen", node, "--admin-listen", admin,
+		"--failure-domain", domain, "--log-url", c.logURL, "--stop-timeout", "20s",
+	}
+	if len(c.seeds) > 0 {
+		args = append(args, "--seeds", strings.Join(c.seeds, ","))
+	}
+	v := &vm{id: domain + "/" + node, caller: "http://" + caller, admin: "http://" + admin, worker: "http://" + worker}
+	v.node = startProcess(c.t, "wharfnode", args...)
+	c.await(admin)
+	v.target = startProcess(c.t, "wharfstandin", append([]string{
+		"target", "--listen", worker, "--service", service, "--node-admin", v.admin, "--node-caller", v.caller,
+	}, targetArgs...)...)
+	c.seeds = append(c.seeds, node)
+	c.vms = append(c.vms, v)
+	return v
+}
+
+// settle waits until each node knows n members and owns the keys of its target.
+func (c *cluster) settle() {
+	c.t.Helper()
+	for _, v := range c.vms {
+		eventually(c.t, "node "+v.id+" has settled", func() bool {
+			var s struct {
+				Members int      `json:"members"`
+				Owned   []string `json:"owned-services"`
+			}
+			return getJSON(v.admin+"/wharf/v1/status", &s) && s.Members >= len(c.vms) && len(s.Owned) > 0
+		})
+	}
+	// Every node has to have folded the last announcement.
+	eventually(c.t, "all nodes have the same offset", func() bool {
+		offsets := map[uint64]bool{}
+		for _, v := range c.vms {
+			var s struct {
+				Offset uint64 `json:"offset"`
+			}
+			if !getJSON(v.admin+"/wharf/v1/status", &s) {
+				return false
+			}
+			offsets[s.Offset] = true
+		}
+		return len(offsets) == 1
+	})
+}
+
+func getJSON(url string, into any) bool {
+	client := http.Client{Timeout: 2 * time.Second}
+	r, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode == http.StatusOK && json.NewDecoder(r.Body).Decode(into) == nil
+}
+
+// setLog switches faults of the log.
+func (c *cluster) setLog(faults string) {
+	c.t.Helper()
+	r, err := http.NewRequest(http.MethodPut, c.logURL+"/faults", strings.NewReader(faults))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// stats are what a target has counted.
+type stats struct {
+	Running int            `json:"running"`
+	Effects map[string]int `json:"effects"`
+}
+
+func (v *vm) stats() stats {
+	var s stats
+	getJSON(v.worker+"/standin/stats", &s)
+	return s
+}
+
+// keyOf returns a key whose home is one of the VMs.
+func (c *cluster) keyOf(owner *vm) string {
+	c.t.Helper()
+	var table *wharfhome.Table
+	for i, v := range c.vms {
+		table = table.WithRecords([]wharfhome.Positioned{{
+			Offset: uint64(i + 1),
+			Record: wharfhome.Record{Kind: wharfhome.Announce, Node: v.id, Incarnation: 1, Services: []string{"bookings"}},
+		}})
+	}
+	for i := 0; ; i++ {
+		key := fmt.Sprint("key-", i)
+		if o, ok := table.Owner("bookings", key); ok && o.Node == owner.id {
+			return key
+		}
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	reason  string
+}
+
+// book sends a booking with a key.
+func (v *vm) book(key string, timeout time.Duration) reply {
+	r, err := http.NewRequest(http.MethodPost, v.caller+"/bookings", strings.NewReader("slot 7"))
+	if err != nil {
+		return reply{}
+	}
+	r.Header.Set(wharfwire.HeaderService, "bookings")
+	r.Header.Set(wharfwire.HeaderIdempotencyKey, key)
+	r.Header.Set(wharfwire.HeaderTimeout, fmt.Sprint(timeout.Milliseconds()))
+	client := http.Client{Timeout: timeout + 5*time.Second}
+	response, err := client.Do(r)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return reply{response.StatusCode, response.Header.Get(wharfwire.HeaderOutcome), response.Header.Get(wharfwire.HeaderReason)}
+}
--- /dev/null
+++ b/wharfnode/internal/wharfprocess/once_test.go
@@ -0,0 +1,130 @@
+package wharfprocess
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// scene is a cluster with the VM that owns the key and one that doesn't.
+type scene struct {
+	*cluster
+	owner, other *vm
+	key          string
+}
+
+// fault is something that goes wrong, and comes right again.
+type fault struct {
+	name   string
+	breaks func(s *scene)
+	mend   func(s *scene)
+}
+
+var faults = []fault{
+	{"owner node killed", func(s *scene) { s.owner.node.kill() }, func(s *scene) { s.owner.node.start() }},
+	{"owner node restarted", func(s *scene) { s.owner.node.restart() }, func(*scene) {}},
+	{"owner node frozen", func(s *scene) { s.owner.node.signal(syscall.SIGSTOP) }, func(s *scene) { s.owner.node.signal(syscall.SIGCONT) }},
+	{"sender node frozen", func(s *scene) { s.other.node.signal(syscall.SIGSTOP) }, func(s *scene) { s.other.node.signal(syscall.SIGCONT) }},
+	{"sender node killed", func(s *scene) { s.other.node.kill() }, func(s *scene) { s.other.node.start() }},
+	{"target killed", func(s *scene) { s.owner.target.kill() }, func(s *scene) { s.owner.target.start() }},
+	{"target frozen", func(s *scene) { s.owner.target.signal(syscall.SIGSTOP) }, func(s *scene) { s.owner.target.signal(syscall.SIGCONT) }},
+	{"owner node stopped as planned", func(s *scene) { s.owner.node.signal(syscall.SIGTERM) }, func(s *scene) { <-s.owner.node.ended; s.owner.node.start() }},
+	{"log down", func(s *scene) { s.setLog(`{"down":true}`) }, func(s *scene) { s.setLog(`{}`) }},
+	{"log down, owner node restarted", func(s *scene) { s.setLog(`{"down":true}`); s.owner.node.restart() }, func(s *scene) { s.setLog(`{}`) }},
+}
+
+// steps are the moments of a request at which a fault can come.
+var steps = []struct {
+	name string
+	run  func(t *testing.T, s *scene, f fault) []reply
+}{
+	{"before the send", func(_ *testing.T, s *scene, f fault) []reply {
+		f.breaks(s)
+		return []reply{s.other.book(s.key, 2*time.Second)}
+	}},
+	{"while it runs", func(t *testing.T, s *scene, f fault) []reply {
+		first := make(chan reply, 1)
+		go func() { first <- s.other.book(s.key, 2*time.Second) }()
+		eventually(t, "the request runs", func() bool { return s.owner.stats().Running > 0 })
+		f.breaks(s)
+		return []reply{<-first}
+	}},
+	{"after the answer", func(_ *testing.T, s *scene, f fault) []reply {
+		first := s.other.book(s.key, 2*time.Second)
+		f.breaks(s)
+		return []reply{first}
+	}},
+}
+
+// TestBookingTakesEffectOnce brings each fault at each step of a booking,
+// resends it to both nodes during the fault and after it, and counts effects
+// at the targets. A target that is killed forgets its counts, so effects are
+// read before as well.
+func TestBookingTakesEffectOnce(t *testing.T) {
+	for _, f := range faults {
+		for _, step := range steps {
+			t.Run(f.name+"/"+step.name, func(t *testing.T) {
+				t.Parallel()
+				s := newScene(t)
+				var counted int
+				original := f.breaks
+				f.breaks = func(s *scene) {
+					counted = s.effects()
+					original(s)
+				}
+				replies := step.run(t, s, f)
+				for _, v := range []*vm{s.owner, s.other} {
+					replies = append(replies, v.book(s.key, time.Second))
+				}
+				f.mend(s)
+				for range 3 {
+					for _, v := range []*vm{s.owner, s.other} {
+						replies = append(replies, v.book(s.key, time.Second))
+					}
+				}
+				s.check(t, f.name == "target killed", counted, replies)
+			})
+		}
+	}
+}
+
+func newScene(t *testing.T) *scene {
+	t.Helper()
+	c := newCluster(t)
+	owner := c.startVM("domain-a", "bookings", "--service-time", "300ms")
+	other := c.startVM("domain-b", "bookings", "--service-time", "300ms")
+	c.settle()
+	return &scene{cluster: c, owner: owner, other: other, key: c.keyOf(owner)}
+}
+
+func (s *scene) effects() int {
+	return s.owner.stats().Effects[s.key] + s.other.stats().Effects[s.key]
+}
+
+// check compares what callers were told with what the targets did.
+func (s *scene) check(t *testing.T, forgets bool, counted int, replies []reply) {
+	t.Helper()
+	effects := s.effects()
+	if forgets {
+		effects += counted
+	}
+	completed := 0
+	onlyNotRun := true
+	for _, r := range replies {
+		if r.status == 200 {
+			completed++
+		}
+		if r.outcome != "not-run" {
+			onlyNotRun = false
+		}
+	}
+	if effects > 1 {
+		t.Errorf("%d effects; replies %v", effects, replies)
+	}
+	if completed > 0 && effects == 0 && !forgets {
+		t.Errorf("completed without effect; replies %v", replies)
+	}
+	if onlyNotRun && effects > 0 {
+		t.Errorf("every caller was told that nothing ran; replies %v", replies)
+	}
+}
--- /dev/null
+++ b/wharfnode/internal/wharfserver/admin_test.go
@@ -0,0 +1,67 @@
+package wharfserver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAdminContract(t *testing.T) {
+	m := newMesh(t)
+	n := m.start("domain-a")
+	server := m.serve(n, "reads", hello)
+	address := strings.TrimPrefix(server.URL, "http://")
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		body   string
+		status int
+		want   string
+	}{
+		{"announce", "POST", "/wharf/v1/targets", `{"service":"reads","address":"` + address + `","slots":20}`, 200, address},
+		{"announce without service", "POST", "/wharf/v1/targets", `{"address":"127.0.0.1:1","slots":1}`, 400, "service-missing"},
+		{"announce with a name for an address", "POST", "/wharf/v1/targets", `{"service":"x","address":"host:1","slots":1}`, 400, "address-syntax"},
+		{"announce no slots", "POST", "/wharf/v1/targets", `{"service":"x","address":"127.0.0.1:1","slots":0}`, 400, "slots-range"},
+		{"announce an unknown field", "POST", "/wharf/v1/targets", `{"service":"x","port":1}`, 400, "announcement-syntax"},
+		{"announce bad labels", "POST", "/wharf/v1/targets", `{"service":"x","address":"127.0.0.1:1","slots":1,"labels":{"a b":"c"}}`, 400, "label-syntax"},
+		{"announce rubbish", "POST", "/wharf/v1/targets", `{`, 400, "announcement-syntax"},
+		{"leave without target", "DELETE", "/wharf/v1/targets?address=127.0.0.1:1", "", 404, "target-unknown"},
+		{"targets", "GET", "/wharf/v1/targets", "", 200, `"slots":20`},
+		{"status", "GET", "/wharf/v1/status", "", 200, `"owned-services":["reads"]`},
+		{"members", "GET", "/wharf/v1/members", "", 200, `"failure-domain":"domain-a"`},
+		{"configuration", "GET", "/wharf/v1/config", "", 200, `"offset":1`},
+		{"audit", "GET", "/wharf/v1/audit", "", 200, ""},
+		{"explain", "GET", "/wharf/v1/explain?service=reads", "", 200, `"Name":"default"`},
+		{"explain without service", "GET", "/wharf/v1/explain", "", 400, "service-missing"},
+		{"quarantine", "GET", "/wharf/v1/quarantine", "", 200, ""},
+		{"metrics", "GET", "/metrics", "", 200, "wharf_state_offset 1"},
+		{"unknown path", "GET", "/wharf/v1/nothing", "", 404, ""},
+		{"leave", "DELETE", "/wharf/v1/targets?address=" + address, "", 204, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := http.NewRequest(tc.method, n.admin+tc.path, strings.NewReader(tc.body))
+			is.NoErr(err)
+			response, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			_ = response.Body.Close()
+			is.Equal(response.StatusCode, tc.status)
+			if !strings.Contains(string(body), tc.want) {
+				t.Errorf("%q is not in %s", tc.want, body)
+			}
+			if tc.status == 400 {
+				var fault struct{ Code, Message string }
+				is.NoErr(json.Unmarshal(body, &fault))
+				is.True(fault.Message != "")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/wharfstandin/internal/wharfspread/doc.go
@@ -0,0 +1,3 @@
+// Package wharfspread measures how long a change of configuration takes from
+// the log to every node.
+package wharfspread
--- a/wharfstandin/main.go
+++ b/wharfstandin/main.go
@@ -16,6 +16,7 @@
 	Log     logCommand       `cmd:"" help:"Stand in for the platform's append-only log."`
 	Target  targetCommand    `cmd:"" help:"Stand in for a target."`
 	Load    loadCommand      `cmd:"" help:"Put load on nodes and measure what callers see."`
+	Spread  spreadCommand    `cmd:"" help:"Measure how long changes of configuration take to be in force everywhere."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- /dev/null
+++ b/wharfstandin/spread.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfcli"
+	"ragwortwharf.dev/wharfstandin/internal/wharfspread"
+)
+
+// spreadCommand measures how long changes take to be in force everywhere.
+type spreadCommand struct {
+	LogURL  string        `required:"" env:"WHARF_LOG_URL" help:"URL of the log."`
+	Nodes   []string      `required:"" env:"WHARF_NODES" help:"Admin URLs of the nodes."`
+	Changes int           `default:"20" env:"WHARF_CHANGES" help:"Number of changes."`
+	Pause   time.Duration `default:"500ms" env:"WHARF_PAUSE" help:"Pause between changes."`
+	Limit   time.Duration `default:"30s" env:"WHARF_LIMIT" help:"Longest wait for one change."`
+}
+
+// Run publishes changes one by one and prints how long each took.
+func (c *spreadCommand) Run(ctx context.Context) error {
+	var faults wharfcli.Faults
+	faults.URL("log-url", c.LogURL)
+	for _, n := range c.Nodes {
+		faults.URL("nodes", n)
+	}
+	if len(faults) > 0 {
+		return wharfcli.ExitError{Code: wharfcli.ExitUsage, Err: faults}
+	}
+	report, err := wharfspread.Run(ctx, wharfspread.Plan{
+		LogURL: c.LogURL, Nodes: c.Nodes, Changes: c.Changes, Pause: c.Pause, Limit: c.Limit,
+	})
+	if err != nil {
+		return err
+	}
+	report.Write(os.Stdout)
+	return nil
+}
