--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -9,7 +9,9 @@
 source "$(dirname "$0")/cluster.sh"
 root="$(cd "$(dirname "$0")/.." && pwd)"
 
-(cd "$root/wharf" && go test -run '^$' -bench . -benchtime 300ms ./... | grep -E '^Benchmark')
+if [ -z "${SKIP_BENCHMARKS:-}" ]; then
+  (cd "$root/wharf" && go test -run '^$' -bench . -benchtime 300ms ./... | grep -E '^Benchmark')
+fi
 
 ticks=$(getconf CLK_TCK)
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
@@ -17,9 +19,11 @@
 metric() { curl -s "$1/metrics" | awk -v m="$2" 'index($1, m) == 1 {s += $2} END {print s + 0}'; }
 
 idle() {
-  local n=$1 domains=(domain-a domain-b domain-c domain-d domain-e domain-f) i port admins=() nodes=()
+  local n=$1 domains=(domain-a domain-b domain-c domain-d domain-e domain-f) i port
   stop_all
   seeds=""
+  admins=()
+  nodes=()
   base_port=$((base_port + 800))
   start_log
   for i in $(seq 1 "$n"); do
@@ -38,7 +42,15 @@
   sleep 8
   "$bin/wharfstandin" spread --log-url "$log_url" --nodes "$(join_by_comma "${admins[@]}")"
   sleep 2
-  local cpu=0 sent=0 rss=0 cpu0=0 sent0=0 span=20
+  measure "idle"
+  "$bin/wharfstandin" spread --log-url "$log_url" --nodes "${admins[0]}" --changes 9 --pause 2200ms >/dev/null &
+  measure "0.45 changes/s"
+  wait $!
+}
+
+# measure NAME: what the nodes spend in a time span, on average.
+measure() {
+  local cpu=0 sent=0 rss=0 cpu0=0 sent0=0 span=20 i
   for i in "${!nodes[@]}"; do
     cpu0=$((cpu0 + $(cpu_ticks "${nodes[$i]}")))
     sent0=$((sent0 + $(metric "${admins[$i]}" wharf_control_bytes_total)))
@@ -49,9 +61,9 @@
     sent=$((sent + $(metric "${admins[$i]}" wharf_control_bytes_total)))
     rss=$((rss + $(rss_kb "${nodes[$i]}")))
   done
-  awk -v n="$n" -v c=$((cpu - cpu0)) -v b=$((sent - sent0)) -v r="$rss" -v s="$span" -v t="$ticks" 'BEGIN {
-    printf "%d idle nodes: %.2f%% of a core, %.0f B/s of control payload, %.1f MB resident, each\n",
-      n, 100 * c / t / s / n, b / s / n, r / 1024 / n }'
+  awk -v n="${#nodes[@]}" -v c=$((cpu - cpu0)) -v b=$((sent - sent0)) -v r="$rss" -v s="$span" -v t="$ticks" -v what="$1" 'BEGIN {
+    printf "%d nodes, %s: %.2f%% of a core, %.0f B/s in exchanges begun, %.1f MB resident, each\n",
+      n, what, 100 * c / t / s / n, b / s / n, r / 1024 / n }'
 }
 
 if [ $# -eq 0 ]; then set -- 12 24 36; fi
--- a/wharf/wharfhome/keys.go
+++ b/wharf/wharfhome/keys.go
@@ -261,6 +261,15 @@
 	return earlier.decide()
 }
 
+// mintedLife is how long a key that a node minted is kept. Nobody resends it;
+// its sender asks about it at most once, soon after the answer was lost.
+const mintedLife = 2 * time.Minute
+
+// minted reports whether the key was made by a node for one attempt.
+func (id KeyID) minted() bool {
+	return id.Service == ""
+}
+
 // Expire forgets keys whose last change is older than the horizon.
 func (k *Keys) Expire(now time.Time, horizon time.Duration) int {
 	n := 0
@@ -269,7 +278,11 @@
 		s.mu.Lock()
 		for id, e := range s.entries {
 			ended := e.State == Done || e.State == Lost || e.State == Closed
-			if ended && now.Sub(e.Changed) > horizon {
+			life := horizon
+			if id.minted() {
+				life = min(mintedLife, horizon)
+			}
+			if ended && now.Sub(e.Changed) > life {
 				s.drop(id)
 				n++
 			}
--- a/wharf/wharfhome/keys_test.go
+++ b/wharf/wharfhome/keys_test.go
@@ -112,6 +112,18 @@
 	is.True(k.Bytes() <= keyShards*(maxBytesPerShard+maxKeysPerShard*entryBytes))
 }
 
+func TestMintedKeysAreKeptForAShortTime(t *testing.T) {
+	is := is.New(t)
+	var k Keys
+	for _, id := range []KeyID{{Key: "minted"}, {"s", "c", "chosen"}} {
+		k.Begin(epoch, id, 1, 0)
+		k.Dispatch(epoch, id)
+		k.Finish(epoch, id, &Answer{Status: 200, Whole: true})
+	}
+	is.Equal(k.Expire(epoch.Add(mintedLife+1), time.Hour), 1)
+	is.Equal(k.Begin(epoch, KeyID{"s", "c", "chosen"}, 1, 0).Step, Replay)
+}
+
 func TestImportKeepsNewer(t *testing.T) {
 	is := is.New(t)
 	var from, to Keys
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -24,6 +24,9 @@
 	// tries counts the attempts that were sent.
 	tries int
 	last  attemptResult
+	// uncertain is the outcome of the last attempt that may have run.
+	uncertain  wharfoutcome.Outcome
+	mayHaveRun bool
 }
 
 // send makes attempts until the request has its final outcome.
@@ -39,7 +42,16 @@
 	if s.last.answered {
 		return
 	}
-	e.refuse(c, s.last.outcome)
+	e.refuse(c, s.outcome())
+}
+
+// outcome returns the truth about all attempts: once one of them may have run,
+// a later refusal doesn't undo that.
+func (s *sending) outcome() wharfoutcome.Outcome {
+	if s.mayHaveRun && s.last.outcome.Kind == wharfoutcome.NotRun {
+		return s.uncertain.WithRetryAfter(s.last.outcome.RetryAfter)
+	}
+	return s.last.outcome
 }
 
 // end records what the request has met for the call that it was made for.
@@ -82,12 +94,8 @@
 	return s.mayRetry(request)
 }
 
-// fail sets the outcome of a request that can't be sent. If an earlier attempt
-// may have run, that stays the truth.
+// fail sets the outcome of a request that can't be sent.
 func (s *sending) fail(o wharfoutcome.Outcome) {
-	if s.tries > 0 && s.last.outcome.Kind == wharfoutcome.Unknown {
-		return
-	}
 	if s.tries > 0 && o.Reason == wharfoutcome.ReasonNoTarget {
 		// All targets were tried: what the last one said says more.
 		return
@@ -125,8 +133,11 @@
 	} else {
 		s.call.grant.undo(down)
 	}
-	if s.last.outcome.Kind == wharfoutcome.Completed {
+	switch s.last.outcome.Kind {
+	case wharfoutcome.Completed:
 		s.entry.ratio.Success()
+	case wharfoutcome.Unknown:
+		s.uncertain, s.mayHaveRun = s.last.outcome, true
 	}
 }
 
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -20,8 +20,8 @@
 	maxRecordBytes = 256 << 10
 	// maxNewsBytes bounds the records sent along with a request, in bytes.
 	maxNewsBytes = 4 << 10
-	// newsRecords is how many of the last records are sent along.
-	newsRecords = 4
+	// newsRecords is how many records are sent along at most.
+	newsRecords = 8
 	// maxEntries bounds the entries in one message.
 	maxEntries = 512
 	// maxSuspicions bounds the suspicions in one message.
@@ -29,13 +29,13 @@
 )
 
 // request builds the first message of an exchange.
-func (m *Mesh) request() *wharfwire.ExchangeRequest {
+func (m *Mesh) request(since uint64) *wharfwire.ExchangeRequest {
 	now := time.Now()
 	r := &wharfwire.ExchangeRequest{
 		From:         m.View.Node(),
 		Incarnation:  m.View.Incarnation(),
 		ConfigOffset: m.View.State().Offset(),
-		Records:      m.news(),
+		Records:      m.news(since),
 		Freshness:    m.freshness(now),
 		Suspicions:   m.suspicions(now),
 	}
@@ -57,13 +57,13 @@
 	return r
 }
 
-// news returns the last records, for a partner that is only just behind.
-func (m *Mesh) news() []*wharfwire.LogRecord {
-	offset := m.View.State().Offset()
-	if offset == 0 || time.Since(m.View.State().Time()) > rumourLife {
+// news returns the records since the last round, for a partner that is only
+// just behind. Those that are further behind ask for what they lack.
+func (m *Mesh) news(since uint64) []*wharfwire.LogRecord {
+	if m.View.State().Offset()-since > newsRecords {
 		return nil
 	}
-	records, _ := m.View.RecordsAfter(offset-min(offset, newsRecords), maxNewsBytes)
+	records, _ := m.View.RecordsAfter(since, maxNewsBytes)
 	return packRecords(records)
 }
 
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -41,6 +41,8 @@
 	mesh  *Mesh
 	rng   *rand.Rand
 	count int
+	// told is the offset up to which records were sent along in a round.
+	told uint64
 }
 
 func (r *rounds) run(ctx context.Context) {
@@ -73,7 +75,7 @@
 			continue
 		}
 		// A seed that can't be reached now is met by a later round of others.
-		_ = r.mesh.exchange(ctx, seed)
+		_ = r.mesh.exchange(ctx, seed, r.mesh.View.State().Offset())
 	}
 }
 
@@ -84,10 +86,12 @@
 		r.join(ctx)
 		return
 	}
+	since := r.told
+	r.told = r.mesh.View.State().Offset()
 	group := r.mesh.pool.NewGroup()
 	for _, p := range partners {
 		group.Submit(func() {
-			err := r.mesh.exchange(ctx, p.Address)
+			err := r.mesh.exchange(ctx, p.Address, since)
 			if ctx.Err() == nil {
 				r.mesh.exchanged(p, err == nil)
 			}
@@ -96,15 +100,16 @@
 	_ = group.Wait()
 }
 
-// exchange does one round with one partner.
-func (m *Mesh) exchange(ctx context.Context, address string) error {
+// exchange does one round with one partner, and sends the records since an
+// offset along.
+func (m *Mesh) exchange(ctx context.Context, address string, since uint64) error {
 	client, err := m.Peers.Client(address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := m.request()
+	request := m.request(since)
 	response, err := client.Exchange(ctx, request)
 	if err != nil {
 		return err
--- a/wharfnode/internal/wharfserver/trouble_test.go
+++ b/wharfnode/internal/wharfserver/trouble_test.go
@@ -99,6 +99,34 @@
 	}
 }
 
+// TestRefusalAfterLostAnswerIsUnknown lets one target do its work and cut its
+// answer, and the other refuse the second attempt. What the first one did
+// can't be called not run.
+func TestRefusalAfterLostAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t)
+	far := m.start("domain-b")
+	var first atomic.Bool
+	var arrivals atomic.Int32
+	for range 2 {
+		m.serve(m.start("domain-a"), "reads", func(w http.ResponseWriter, _ *http.Request) {
+			arrivals.Add(1)
+			if first.CompareAndSwap(false, true) {
+				w.Header().Set("Content-Length", "1000")
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set(wharfwire.HeaderOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	got := far.send(request{service: "reads"})
+	is.True(first.Load())
+	is.Equal(arrivals.Load(), int32(2))
+	is.Equal(got.outcome, "unknown")
+}
+
 // TestAttemptsStayBoundedOverChain lets the last of three services refuse
 // everything, while each hop retries what it may.
 func TestAttemptsStayBoundedOverChain(t *testing.T) {
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -160,14 +160,12 @@
 
 // failed decides what a dispatch without an answer means.
 func (s *Server) failed(c *call, ctx context.Context, conn connection, err error) wharfoutcome.Outcome {
-	if !conn.got && ctx.Err() == nil {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonUnreachable)
+	if !conn.got {
+		// There never was a connection, so nothing was sent.
+		return wharfoutcome.Refuse(c.cause(ctx, wharfoutcome.ReasonUnreachable))
 	}
 	if ctx.Err() != nil {
-		if !time.Now().Before(c.deadline) {
-			return wharfoutcome.Uncertain(wharfoutcome.ReasonDeadline)
-		}
-		return wharfoutcome.Uncertain(wharfoutcome.ReasonCancelled)
+		return wharfoutcome.Uncertain(c.cause(ctx, wharfoutcome.ReasonCancelled))
 	}
 	s.Log.Emit(wharfevents.DispatchFailed,
 		wharfevents.Field{Name: "target", Value: c.target.info.Address},
@@ -179,6 +177,18 @@
 	return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
 }
 
+// cause names what ended a dispatch, if it wasn't the target.
+func (c *call) cause(ctx context.Context, otherwise wharfoutcome.Reason) wharfoutcome.Reason {
+	switch {
+	case !time.Now().Before(c.deadline):
+		return wharfoutcome.ReasonDeadline
+	case ctx.Err() != nil:
+		return wharfoutcome.ReasonCancelled
+	default:
+		return otherwise
+	}
+}
+
 // accepts reports whether the target takes new connections.
 func (s *Server) accepts(c *call) bool {
 	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(c.ctx, "tcp", c.target.info.Address)
--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"ragwortwharf.dev/wharf/wharfcli"
@@ -12,7 +13,12 @@
 	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
 )
 
+// softMemoryLimit makes the garbage collector work harder before the process
+// grows beyond what a VM sets aside for it, in bytes.
+const softMemoryLimit = 112 << 20
+
 func main() {
+	debug.SetMemoryLimit(softMemoryLimit)
 	os.Exit(run())
 }
 
