--- a/wharf/wharflog/contract_test.go
+++ b/wharf/wharflog/contract_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,11 +121,11 @@
 type faultyLog struct {
 	Memory
 	err      error
-	arrivals int
+	arrivals atomic.Int32
 }
 
 func (f *faultyLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	f.arrivals++
+	f.arrivals.Add(1)
 	offset, err := f.Memory.Append(ctx, stream, data)
 	if f.err != nil {
 		return 0, f.err
@@ -141,10 +142,10 @@
 			defer server.Close()
 			client := NewClient(server.URL)
 			// The first append leaves a connection that is used again.
-			for sends := 1; sends <= 3; sends++ {
+			for sends := int32(1); sends <= 3; sends++ {
 				_, err := client.Append(context.Background(), testStream, []byte("x"))
 				is.True(errors.Is(err, want))
-				is.Equal(l.arrivals, sends) // nothing resends on its own
+				is.Equal(l.arrivals.Load(), sends) // nothing resends on its own
 			}
 		})
 	}
--- a/wharfnode/internal/wharfserver/harness_test.go
+++ b/wharfnode/internal/wharfserver/harness_test.go
@@ -33,11 +33,22 @@
 	wharflog.Memory
 	down atomic.Bool
 	lose atomic.Int32
+	// slow delays every call, in milliseconds.
+	slow atomic.Int64
 }
 
-func (f *faultyLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+// trouble lets the faults act on a call.
+func (f *faultyLog) trouble() error {
+	time.Sleep(time.Duration(f.slow.Load()) * time.Millisecond)
 	if f.down.Load() {
-		return 0, wharfstream.ErrUnavailable
+		return wharfstream.ErrUnavailable
+	}
+	return nil
+}
+
+func (f *faultyLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if err := f.trouble(); err != nil {
+		return 0, err
 	}
 	offset, err := f.Memory.Append(ctx, stream, data)
 	if err == nil && f.lose.Add(-1) >= 0 {
@@ -47,8 +58,8 @@
 }
 
 func (f *faultyLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (wharfstream.Batch, error) {
-	if f.down.Load() {
-		return wharfstream.Batch{}, wharfstream.ErrUnavailable
+	if err := f.trouble(); err != nil {
+		return wharfstream.Batch{}, err
 	}
 	return f.Memory.Read(ctx, stream, from, limit, min(wait, 100*time.Millisecond))
 }
--- a/wharfnode/internal/wharfserver/trouble_test.go
+++ b/wharfnode/internal/wharfserver/trouble_test.go
@@ -267,6 +267,7 @@
 	}{
 		{"no trouble", func(*mesh) {}, func(*mesh) {}},
 		{"log down before and after", func(m *mesh) { m.log.down.Store(true) }, func(m *mesh) { m.log.down.Store(false) }},
+		{"log slow", func(m *mesh) { m.log.slow.Store(700) }, func(*mesh) {}},
 		{"a reader stops", func(m *mesh) {
 			m.nodes[0].stop()
 			<-m.nodes[0].ended
