Blame no target for a body that its sender broke off

Cause: found by the new contract test of the node-to-node protocol. A body that ended without its closing frame failed the request to the target, which counted as a crash and made every request in flight there a suspect. Before: 'target-crashed'. After: 'body-incomplete', nobody is suspected, and the limit of the target doesn't fall.

--- /dev/null
+++ b/wharf/wharfcli/run.go
@@ -0,0 +1,29 @@
+package wharfcli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Run runs a program of several commands with the arguments and streams of the
+// process, until it ends or a signal asks it to, and returns the exit code.
+func Run(name, description string, commands any, bind ...any) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	program := Program{
+		Name:        name,
+		Description: description,
+		Args:        os.Args[1:],
+		Stdout:      os.Stdout,
+		Stderr:      os.Stderr,
+		Context:     ctx,
+		Bind:        bind,
+	}
+	kctx, code, done := program.Parse(commands)
+	if done {
+		return code
+	}
+	return program.Finish(kctx)
+}
--- a/wharfctl/main.go
+++ b/wharfctl/main.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -35,21 +32,7 @@
 	os.Exit(run())
 }
 
+// run returns the exit code.
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	program := wharfcli.Program{
-		Name:        "wharfctl",
-		Description: "Operates ragwortwharf.",
-		Args:        os.Args[1:],
-		Stdout:      os.Stdout,
-		Stderr:      os.Stderr,
-		Context:     ctx,
-		Bind:        []any{&terminal{out: os.Stdout}},
-	}
-	kctx, code, done := program.Parse(&commands{})
-	if done {
-		return code
-	}
-	return program.Finish(kctx)
+	return wharfcli.Run("wharfctl", "Operates ragwortwharf.", &commands{}, &terminal{out: os.Stdout})
 }
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -107,7 +107,6 @@
 		ContentLength: c.body.length,
 		StateOffset:   e.View.State().Offset(),
 		Streams:       c.body.rest != nil,
-		Route:         c.route(),
 		Priority:      uint32(c.priority),
 	}
 }
--- /dev/null
+++ b/wharfnode/internal/wharfserver/peer_test.go
@@ -0,0 +1,80 @@
+package wharfserver
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
+)
+
+// TestNodeContract calls a node as other nodes do, right and wrong.
+func TestNodeContract(t *testing.T) {
+	m := newMesh(t)
+	n := m.start("domain-a")
+	m.serve(n, "reads", hello)
+	var pool wharfpeers.Pool
+	t.Cleanup(pool.Close)
+	client, err := pool.Client(n.settings.NodeListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := func(change func(h *wharfwire.CallHead)) *wharfwire.CallHead {
+		h := &wharfwire.CallHead{AttemptId: 7, Service: "reads", Method: "GET", Uri: "/", Idempotent: true, TimeoutMs: 5000, Attempts: 3}
+		change(h)
+		return h
+	}
+	var whole, other wharfwire.BodySum
+	other.Add([]byte("other"))
+	tests := []struct {
+		name    string
+		head    *wharfwire.CallHead
+		end     *wharfwire.BodyEnd
+		code    codes.Code
+		outcome wharfoutcome.Kind
+		reason  wharfoutcome.Reason
+	}{
+		{"good call", head(func(*wharfwire.CallHead) {}), whole.End(), codes.OK, wharfoutcome.Completed, ""},
+		{"no head", nil, whole.End(), codes.InvalidArgument, 0, ""},
+		{"service without target", head(func(h *wharfwire.CallHead) { h.Service = "other" }), whole.End(), codes.OK, wharfoutcome.NotRun, "no-target"},
+		{"time is over", head(func(h *wharfwire.CallHead) { h.TimeoutMs = 0 }), whole.End(), codes.OK, wharfoutcome.NotRun, "deadline"},
+		{"sender knows more of the log", head(func(h *wharfwire.CallHead) { h.Idempotent, h.Key, h.StateOffset = false, "k", 99 }), whole.End(), codes.OK, wharfoutcome.NotRun, "home-catching-up"},
+		{"closing frame of another body", head(func(h *wharfwire.CallHead) { h.Method, h.ContentLength = "POST", 5 }), other.End(), codes.OK, wharfoutcome.Unknown, "body-incomplete"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			stream, err := client.Call(ctx)
+			is.NoErr(err)
+			is.NoErr(stream.Send(&wharfwire.CallFrame{Head: tc.head, End: tc.end}))
+			frame, err := stream.Recv()
+			is.Equal(status.Code(err), tc.code)
+			if tc.code != codes.OK {
+				return
+			}
+			is.Equal(frame.GetHead().GetAttemptId(), uint64(7))
+			is.Equal(wharfoutcome.Kind(frame.GetHead().GetOutcome()), tc.outcome)
+			is.Equal(wharfoutcome.Reason(frame.GetHead().GetReason()), tc.reason)
+			is.True(frame.GetHead().GetLoad() != nil || tc.reason == "no-target")
+		})
+	}
+	t.Run("consult", func(t *testing.T) {
+		is := is.New(t)
+		ask := &wharfwire.ConsultRequest{Service: "reads", Key: "k", Incarnation: n.view.Incarnation()}
+		r, err := client.Consult(context.Background(), ask)
+		is.NoErr(err)
+		is.Equal(wharfhome.State(r.GetState()), wharfhome.Absent)
+		ask.Incarnation++
+		_, err = client.Consult(context.Background(), ask)
+		is.Equal(status.Code(err), codes.FailedPrecondition)
+	})
+}
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -107,6 +107,8 @@
 		return wharfoutcome.Uncertain(wharfoutcome.ReasonDeadline)
 	case senderLost || ctx.Err() != nil:
 		return wharfoutcome.Uncertain(wharfoutcome.ReasonCancelled)
+	case c.body.broken.Load():
+		return wharfoutcome.Uncertain(wharfoutcome.ReasonBodyIncomplete)
 	default:
 		s.blame(c)
 		return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
@@ -167,6 +168,9 @@
 	if ctx.Err() != nil {
 		return wharfoutcome.Uncertain(c.cause(ctx, wharfoutcome.ReasonCancelled))
 	}
+	if c.body.broken.Load() {
+		return wharfoutcome.Uncertain(wharfoutcome.ReasonBodyIncomplete)
+	}
 	s.Log.Emit(wharfevents.DispatchFailed,
 		wharfevents.Field{Name: "target", Value: c.target.info.Address},
 		wharfevents.Field{Name: "error", Value: err})
@@ -248,7 +252,7 @@
 	switch {
 	case o.Reason == wharfoutcome.ReasonDeadline:
 		return wharfadmission.Late
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || o.Reason == wharfoutcome.ReasonBodyIncomplete:
 		return wharfadmission.Withdrawn
 	default:
 		return wharfadmission.Failed
@@ -262,6 +266,9 @@
 	sum    wharfwire.BodySum
 	ended  bool
 	err    error
+	// broken says that the sender broke off, so that the target isn't blamed
+	// for a request that failed.
+	broken atomic.Bool
 }
 
 // newCallBody returns the body of a call that began with a frame.
@@ -280,12 +287,17 @@
 		return nil
 	}
 	if !b.sum.Matches(end) {
-		return io.ErrUnexpectedEOF
+		return b.breakOff()
 	}
 	b.ended = true
 	return nil
 }
 
+func (b *callBody) breakOff() error {
+	b.broken.Store(true)
+	return io.ErrUnexpectedEOF
+}
+
 // Read returns the next bytes. The end is only reported after a closing frame
 // that matches.
 func (b *callBody) Read(p []byte) (int, error) {
@@ -295,7 +307,7 @@
 		}
 		frame, err := b.stream.Recv()
 		if err != nil {
-			return 0, io.ErrUnexpectedEOF
+			return 0, b.breakOff()
 		}
 		b.err = b.take(frame)
 	}
--- /dev/null
+++ b/wharfstandin/internal/wharflogservice/service_test.go
@@ -0,0 +1,56 @@
+package wharflogservice
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharflog"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+// TestFaults switches each fault on over HTTP and sees it through the client
+// that nodes use.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults string
+		rate   float64
+		err    error
+		// records is how many records stand in the log after two appends.
+		records int
+	}{
+		{"none", `{}`, 100, nil, 2},
+		{"down", `{"down":true}`, 100, wharfstream.ErrUnavailable, 0},
+		{"slow", `{"slow-ms":20}`, 100, nil, 2},
+		{"answers lost", `{"lose-answers":2}`, 100, wharfstream.ErrUncertain, 2},
+		{"too fast", `{}`, 0.001, wharfstream.ErrTooFast, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			service := New(time.Hour, tc.rate)
+			server := httptest.NewServer(service.Handler())
+			defer server.Close()
+			r, err := http.NewRequest(http.MethodPut, server.URL+"/faults", strings.NewReader(tc.faults))
+			is.NoErr(err)
+			response, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			client := wharflog.NewClient(server.URL)
+			for range 2 {
+				_, err = client.Append(context.Background(), "s", []byte("x"))
+				is.True(errors.Is(err, tc.err) && (err == nil) == (tc.err == nil))
+			}
+			batch, err := service.log.Read(context.Background(), "s", 1, 10, 0)
+			is.NoErr(err)
+			is.Equal(len(batch.Records), tc.records)
+		})
+	}
+}
--- a/wharfstandin/main.go
+++ b/wharfstandin/main.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -24,20 +21,7 @@
 	os.Exit(run())
 }
 
+// run returns the exit code.
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	program := wharfcli.Program{
-		Name:        "wharfstandin",
-		Description: "Stand-ins for tests and experiments.",
-		Args:        os.Args[1:],
-		Stdout:      os.Stdout,
-		Stderr:      os.Stderr,
-		Context:     ctx,
-	}
-	kctx, code, done := program.Parse(&commands{})
-	if done {
-		return code
-	}
-	return program.Finish(kctx)
+	return wharfcli.Run("wharfstandin", "Stand-ins for tests and experiments.", &commands{})
 }
