Treat a crash within an answer like one before it

A trace of a loaded run shows the sender's list holding the suspicion of the crash before its second attempt: the periodic exchange had brought it, so the request was, rightly, not tried again. Behind it is a fault. An answer that breaks off reached the sender as answer-incomplete, whatever broke it, so a request that crashes its target after the first bytes was tried on a second target unless the exchange was quicker; one that crashes it before the first byte never was. The sender also blamed the target for a body that the caller broke off while the answer ran. Ruled out: a target that isn't known yet, a connection that takes too long, the retry ratio, ejection (all in the trace). TestRefusalAfterLostAnswerIsUnknown loses its first answer by a cut link now, which is no crash, and checks the same.

--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -277,10 +277,8 @@
 		result.outcome = wharfoutcome.Uncertain(x.entry.cause(c))
 		return result
 	}
-	if status.Code(err) == codes.Aborted {
-		result.routing = wharfrouting.TargetFailed
-		result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerIncomplete)
-		return result
+	if s := status.Convert(err); s.Code() == codes.Aborted {
+		return brokenOff(wharfoutcome.Reason(s.Message()))
 	}
 	result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
 	if !c.policy.Idempotent && c.key == "" {
@@ -289,6 +287,16 @@
 	return result
 }
 
+// brokenOff is the result of an attempt whose answer the target's node ended
+// early, for a reason.
+func brokenOff(reason wharfoutcome.Reason) attemptResult {
+	result := attemptResult{sent: true, lost: true, routing: wharfrouting.Withdrawn, outcome: wharfoutcome.Uncertain(reason)}
+	if reason == wharfoutcome.ReasonTargetCrashed {
+		result.routing = wharfrouting.TargetFailed
+	}
+	return result
+}
+
 // resolveTimeout bounds the question about a lost answer.
 const resolveTimeout = 500 * time.Millisecond
 
--- a/wharfnode/internal/wharfserver/trouble_test.go
+++ b/wharfnode/internal/wharfserver/trouble_test.go
@@ -99,30 +99,67 @@
 	}
 }
 
-// TestRefusalAfterLostAnswerIsUnknown lets one target do its work and cut its
-// answer, and the other refuse the second attempt. What the first one did
-// can't be called not run.
+// breakOffLate ends the connection after a part of the answer.
+func breakOffLate(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "1000")
+	_, _ = io.WriteString(w, "part")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// TestCrashInAnswerIsNotTriedElsewhere breaks off the first connection, before
+// the answer or within it. A second attempt could cost a second target.
+func TestCrashInAnswerIsNotTriedElsewhere(t *testing.T) {
+	tests := []struct {
+		name  string
+		crash func(w http.ResponseWriter)
+	}{
+		{"before the answer", breakOff},
+		{"within the answer", breakOffLate},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t)
+			far := m.start("domain-b")
+			var arrivals atomic.Int32
+			for range 2 {
+				m.serve(m.start("domain-a"), "reads", func(w http.ResponseWriter, r *http.Request) {
+					if arrivals.Add(1) == 1 {
+						tc.crash(w)
+						return
+					}
+					hello(w, r)
+				})
+			}
+			got := far.send(request{service: "reads"})
+			is.Equal(arrivals.Load(), int32(1))
+			is.Equal(got.outcome, "unknown")
+			is.Equal(got.reason, "target-crashed")
+		})
+	}
+}
+
+// TestRefusalAfterLostAnswerIsUnknown cuts off the node of one target that does
+// its work, and lets the other target refuse the second attempt. What the
+// first one did can't be called not run.
 func TestRefusalAfterLostAnswerIsUnknown(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(t)
 	far := m.start("domain-b")
-	var first atomic.Bool
 	var arrivals atomic.Int32
 	for range 2 {
-		m.serve(m.start("domain-a"), "reads", func(w http.ResponseWriter, _ *http.Request) {
-			arrivals.Add(1)
-			if first.CompareAndSwap(false, true) {
-				w.Header().Set("Content-Length", "1000")
-				_, _ = io.WriteString(w, "part")
-				_ = http.NewResponseController(w).Flush()
-				panic(http.ErrAbortHandler)
+		n := m.start("domain-a")
+		m.serve(n, "reads", func(w http.ResponseWriter, _ *http.Request) {
+			if arrivals.Add(1) == 1 {
+				n.link.setCut(true)
+				return
 			}
 			w.Header().Set(wharfwire.HeaderOutcome, "not-run")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 	}
 	got := far.send(request{service: "reads"})
-	is.True(first.Load())
 	is.Equal(arrivals.Load(), int32(2))
 	is.Equal(got.outcome, "unknown")
 }
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -16,9 +16,15 @@
 	"ragwortwharf.dev/wharf/wharfwire"
 )
 
-// errAnswerBroken ends a call whose answer could not be sent whole. The sender
-// sees the call fail and takes nothing for complete.
-var errAnswerBroken = status.Error(codes.Aborted, "answer broke off")
+// errBodyShort says that a body ended before its announced length.
+var errBodyShort = errors.New("body ended early")
+
+// answerBroken ends a call whose answer could not be sent whole. The sender
+// sees the call fail, takes nothing for complete, and reads the reason from the
+// message of the status.
+func answerBroken(reason wharfoutcome.Reason) error {
+	return status.Error(codes.Aborted, string(reason))
+}
 
 // sendOutcome answers a call that has no answer of the target.
 func (s *Server) sendOutcome(c *call, o wharfoutcome.Outcome) error {
@@ -83,7 +89,7 @@
 		*result = resultOf(ctx, o)
 		s.finishKey(c, o, nil)
 		s.Metrics.Dispatch(c.head.GetClass(), o)
-		c.err = errAnswerBroken
+		c.err = answerBroken(o.Reason)
 		return wharfoutcome.Outcome{}, true
 	}
 	*result = wharfadmission.Answered
@@ -167,7 +173,7 @@
 func (p *pipe) copyShort(body io.Reader, length int64) error {
 	chunk := make([]byte, length)
 	if _, err := io.ReadFull(body, chunk); err != nil {
-		return errAnswerBroken
+		return errBodyShort
 	}
 	p.hold(chunk)
 	return nil
