Keep a request forgiven when old blame comes back

Cause: a request that ran without harm after a crash was taken off the list. The next exchange with a node that had not heard of it merged the blame back, for up to two minutes and from node to node. Ruled out: a shorter life of suspicions (the second crash of a slow resend would count as a first one). Before: the trial (crash, told to a second list, success, the second list told back) ends with the request suspected. After: a crash is kept with the word that it is forgiven, and merging never takes that back; TestForgivenCrashStaysForgiven over random exchanges of four lists. Crashes have a typed id instead of a string.

--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -16,21 +16,98 @@
 	// maxEntries bounds the memory of the list.
 	maxEntries = 10_000
 
+	// maxCrashes bounds the crashes that are kept for one request.
+	maxCrashes = 16
+
 	listShards = 16
 )
 
 // Fingerprint identifies a request over its resends.
 type Fingerprint uint64
 
+// CrashID names one crash of one target.
+type CrashID struct {
+	// Target is the address of the target that crashed.
+	Target string
+	// Incarnation is that of the node which saw it, and Number counts the
+	// crashes that it has seen.
+	Incarnation uint64
+	Number      int
+}
+
+// Crash is a crash that a request was in flight in.
+type Crash struct {
+	CrashID
+	// Forgiven says that the request has run without harm since. It is kept so
+	// that word from a node which doesn't know it can't bring the blame back.
+	Forgiven bool
+}
+
 // Entry is what is known against a fingerprint.
 type Entry struct {
 	Fingerprint Fingerprint
-	// Crashes lists the ids of the crashes that it was in flight in.
-	Crashes     []string
+	Crashes     []Crash
 	Quarantined bool
 	Expires     time.Time
 }
 
+// Suspected reports whether a crash is held against the fingerprint.
+func (e Entry) Suspected() bool {
+	return e.blamed() > 0
+}
+
+// Targets lists the targets whose crashes are held against the fingerprint.
+func (e Entry) Targets() []string {
+	var out []string
+	for _, c := range e.Crashes {
+		if !c.Forgiven {
+			out = append(out, c.Target)
+		}
+	}
+	return out
+}
+
+func (e Entry) blamed() int {
+	n := 0
+	for _, c := range e.Crashes {
+		if !c.Forgiven {
+			n++
+		}
+	}
+	return n
+}
+
+func (e Entry) find(id CrashID) int {
+	return slices.IndexFunc(e.Crashes, func(c Crash) bool { return c.CrashID == id })
+}
+
+// with returns the entry with a crash, and whether that changes it. A crash
+// once forgiven stays forgiven.
+func (e Entry) with(c Crash) (Entry, bool) {
+	i := e.find(c.CrashID)
+	if i >= 0 && (e.Crashes[i].Forgiven || !c.Forgiven) {
+		return e, false
+	}
+	crashes := slices.Clone(e.Crashes)
+	if i >= 0 {
+		crashes[i].Forgiven = true
+	} else {
+		crashes = append(dropForgiven(crashes), c)
+	}
+	e.Crashes = crashes
+	e.Quarantined = e.Quarantined || e.blamed() >= crashesToQuarantine
+	return e, true
+}
+
+// dropForgiven makes room for a crash by dropping the oldest forgiven one.
+func dropForgiven(crashes []Crash) []Crash {
+	if len(crashes) < maxCrashes {
+		return crashes
+	}
+	i := slices.IndexFunc(crashes, func(c Crash) bool { return c.Forgiven })
+	return slices.Delete(crashes, max(i, 0), max(i, 0)+1)
+}
+
 // List keeps the entries of one node. The zero List is empty.
 type List struct {
 	shards [listShards]listShard
@@ -46,28 +123,26 @@
 }
 
 // Crash records that a target crashed while fingerprints were in flight, and
-// returns the entries that others have to learn. The id tells the crash from
-// every other one, those of the same target included.
-func (l *List) Crash(now time.Time, crashID string, inFlight []Fingerprint) []Entry {
+// returns the entries that others have to learn.
+func (l *List) Crash(now time.Time, id CrashID, inFlight []Fingerprint) []Entry {
 	var changed []Entry
 	for _, fp := range inFlight {
-		if e, news := l.blame(now, fp, crashID); news {
+		if e, news := l.blame(now, fp, id); news {
 			changed = append(changed, e)
 		}
 	}
 	return changed
 }
 
-func (l *List) blame(now time.Time, fp Fingerprint, crashID string) (Entry, bool) {
+func (l *List) blame(now time.Time, fp Fingerprint, id CrashID) (Entry, bool) {
 	s := l.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.get(now, fp)
-	if e.Quarantined || slices.Contains(e.Crashes, crashID) {
-		return e, false
+	old := s.get(now, fp)
+	e, news := old.with(Crash{CrashID: id})
+	if old.Quarantined || !news {
+		return old, false
 	}
-	e.Crashes = append(slices.Clone(e.Crashes), crashID)
-	e.Quarantined = len(e.Crashes) >= crashesToQuarantine
 	e.Expires = now.Add(suspicionLife)
 	if e.Quarantined {
 		e.Expires = now.Add(quarantineLife)
@@ -86,15 +161,13 @@
 		return other, false
 	}
 	e := s.get(now, other.Fingerprint)
-	crashes := slices.Clone(e.Crashes)
-	for _, id := range other.Crashes {
-		if !slices.Contains(crashes, id) {
-			crashes = append(crashes, id)
-		}
+	news := other.Quarantined && !e.Quarantined
+	for _, c := range other.Crashes {
+		var changed bool
+		e, changed = e.with(c)
+		news = news || changed
 	}
-	quarantined := e.Quarantined || other.Quarantined || len(crashes) >= crashesToQuarantine
-	news := quarantined != e.Quarantined || len(crashes) > len(e.Crashes)
-	e.Crashes, e.Quarantined = crashes, quarantined
+	e.Quarantined = e.Quarantined || other.Quarantined
 	if other.Expires.After(e.Expires) {
 		e.Expires = other.Expires
 	}
@@ -102,18 +175,21 @@
 	return e, news
 }
 
-// Succeeded clears a request that ran without harm, and reports whether it
-// was suspected. A quarantine stays.
-func (l *List) Succeeded(fp Fingerprint) bool {
+// Succeeded forgives a request that ran without harm, and returns the entry
+// that others have to learn, if there was blame. A quarantine stays.
+func (l *List) Succeeded(now time.Time, fp Fingerprint) (Entry, bool) {
 	s := l.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.entries[fp]
-	if !ok || e.Quarantined {
-		return false
+	e := s.get(now, fp)
+	if e.Quarantined || !e.Suspected() {
+		return e, false
 	}
-	delete(s.entries, fp)
-	return true
+	for _, c := range e.Crashes {
+		e, _ = e.with(Crash{c.CrashID, true})
+	}
+	s.put(now, e)
+	return e, true
 }
 
 // Quarantined reports whether a request is to be refused, and until when.
@@ -125,10 +201,11 @@
 	return e.Expires.Sub(now), true
 }
 
-// Suspected reports whether a request was in flight in a crash.
+// Suspected reports whether a request was in flight in a crash and has not run
+// without harm since.
 func (l *List) Suspected(now time.Time, fp Fingerprint) bool {
-	_, ok := l.lookup(now, fp)
-	return ok
+	e, ok := l.lookup(now, fp)
+	return ok && e.Suspected()
 }
 
 func (l *List) lookup(now time.Time, fp Fingerprint) (Entry, bool) {
--- a/wharf/wharfquarantine/list_test.go
+++ b/wharf/wharfquarantine/list_test.go
@@ -13,6 +13,10 @@
 
 var epoch = time.Unix(0, 0)
 
+func crash(target string, n int) CrashID {
+	return CrashID{Target: target, Number: n}
+}
+
 func TestQuarantine(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -20,31 +24,31 @@
 		now    time.Time
 		want   bool
 	}{
-		{"one crash", func(l *List) { l.Crash(epoch, "a", []Fingerprint{1}) }, epoch, false},
+		{"one crash", func(l *List) { l.Crash(epoch, crash("a", 1), []Fingerprint{1}) }, epoch, false},
 		{"two crashes of one target", func(l *List) {
-			l.Crash(epoch, "a#1", []Fingerprint{1})
-			l.Crash(epoch, "a#2", []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Crash(epoch, crash("a", 2), []Fingerprint{1})
 		}, epoch, true},
 		{"one crash reported twice", func(l *List) {
-			l.Crash(epoch, "a#1", []Fingerprint{1})
-			l.Crash(epoch, "a#1", []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
 		}, epoch, false},
 		{"two targets", func(l *List) {
-			l.Crash(epoch, "a", []Fingerprint{1})
-			l.Crash(epoch, "b", []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Crash(epoch, crash("b", 1), []Fingerprint{1})
 		}, epoch, true},
 		{"success in between", func(l *List) {
-			l.Crash(epoch, "a", []Fingerprint{1})
-			l.Succeeded(1)
-			l.Crash(epoch, "b", []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Succeeded(epoch, 1)
+			l.Crash(epoch, crash("b", 1), []Fingerprint{1})
 		}, epoch, false},
 		{"second crash was seen elsewhere", func(l *List) {
-			l.Crash(epoch, "a", []Fingerprint{1})
-			l.Merge(epoch, Entry{Fingerprint: 1, Crashes: []string{"b"}, Expires: epoch.Add(time.Minute)})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Merge(epoch, Entry{Fingerprint: 1, Crashes: []Crash{{CrashID: crash("b", 1)}}, Expires: epoch.Add(time.Minute)})
 		}, epoch, true},
 		{"after it expired", func(l *List) {
-			l.Crash(epoch, "a", []Fingerprint{1})
-			l.Crash(epoch, "b", []Fingerprint{1})
+			l.Crash(epoch, crash("a", 1), []Fingerprint{1})
+			l.Crash(epoch, crash("b", 1), []Fingerprint{1})
 		}, epoch.Add(quarantineLife), false},
 		{"old news", func(l *List) {
 			l.Merge(epoch, Entry{Fingerprint: 1, Quarantined: true, Expires: epoch})
@@ -74,7 +78,7 @@
 			continue
 		}
 		crashes++
-		entries := lists[at].Crash(now, fmt.Sprint(at, "#", crashes), []Fingerprint{7})
+		entries := lists[at].Crash(now, crash(fmt.Sprint(at), crashes), []Fingerprint{7})
 		for i := range lists {
 			for _, e := range entries {
 				lists[i].Merge(now, e)
@@ -108,19 +112,56 @@
 func TestBystandersAreCleared(t *testing.T) {
 	is := is.New(t)
 	var l List
-	l.Crash(epoch, "a", []Fingerprint{1, 2})
+	l.Crash(epoch, crash("a", 1), []Fingerprint{1, 2})
 	is.True(l.Suspected(epoch, 2))
-	l.Succeeded(2)
+	l.Succeeded(epoch, 2)
 	is.True(!l.Suspected(epoch, 2))
-	l.Crash(epoch, "b", []Fingerprint{1, 2})
+	l.Crash(epoch, crash("b", 1), []Fingerprint{1, 2})
 	_, refused := l.Quarantined(epoch, 2)
 	is.True(!refused)
 }
 
+// TestForgivenCrashStaysForgiven lets nodes tell each other of one crash in any
+// order, some before and some after they learn that the request was harmless.
+func TestForgivenCrashStaysForgiven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 4
+		var lists [nodes]List
+		for _, e := range lists[0].Crash(epoch, crash("a", 1), []Fingerprint{1}) {
+			for i := range rapid.IntRange(1, nodes).Draw(t, "told") {
+				lists[i].Merge(epoch, e)
+			}
+		}
+		lists[0].Succeeded(epoch, 1)
+		forgiven := [nodes]bool{true}
+		for range rapid.IntRange(1, 30).Draw(t, "exchanges") {
+			from, to := rapid.IntRange(0, nodes-1).Draw(t, "from"), rapid.IntRange(0, nodes-1).Draw(t, "to")
+			for _, e := range lists[from].Entries(epoch) {
+				lists[to].Merge(epoch, e)
+			}
+			forgiven[to] = forgiven[to] || forgiven[from]
+			if forgiven[to] && lists[to].Suspected(epoch, 1) {
+				t.Fatalf("node %d suspects again", to)
+			}
+		}
+	})
+}
+
+func TestCrashesOfOneRequestAreBounded(t *testing.T) {
+	is := is.New(t)
+	var l List
+	for i := range 5 * maxCrashes {
+		l.Crash(epoch, crash("a", i), []Fingerprint{1})
+		l.Succeeded(epoch, 1)
+	}
+	is.True(len(l.Entries(epoch)[0].Crashes) <= maxCrashes)
+	is.True(!l.Suspected(epoch, 1))
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	var l List
 	for i := range Fingerprint(3 * maxEntries) {
-		l.Crash(epoch, "a", []Fingerprint{i})
+		l.Crash(epoch, crash("a", 1), []Fingerprint{i})
 	}
 	is.New(t).True(len(l.Entries(epoch)) <= maxEntries)
 }
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -77,7 +77,7 @@
 
 func (m *Mesh) suspicions(now time.Time) []*wharfwire.Suspicion {
 	entries := m.Quarantine.Entries(now)
-	return wharftarget.PackSuspicions(now, entries[:min(len(entries), maxSuspicions)], nil)
+	return wharftarget.PackSuspicions(now, entries[:min(len(entries), maxSuspicions)])
 }
 
 // syncRequest builds a message that carries entries, given the digests of the
--- a/wharfnode/internal/wharfmesh/watch.go
+++ b/wharfnode/internal/wharfmesh/watch.go
@@ -81,8 +81,8 @@
 
 // Spread tells the nodes of a service in this failure domain about requests
 // that crash targets, and returns when they know or the context ends.
-func (m *Mesh) Spread(ctx context.Context, service string, entries []wharfquarantine.Entry, cleared []wharfquarantine.Fingerprint) {
-	request := &wharfwire.SuspectRequest{Suspicions: wharftarget.PackSuspicions(time.Now(), entries, cleared)}
+func (m *Mesh) Spread(ctx context.Context, service string, entries []wharfquarantine.Entry) {
+	request := &wharfwire.SuspectRequest{Suspicions: wharftarget.PackSuspicions(time.Now(), entries)}
 	group := m.pool.NewGroup()
 	for _, peer := range m.peersOf(service) {
 		group.Submit(func() {
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -214,12 +213,17 @@
 	s.Log.Emit(wharfevents.TargetCrashed,
 		wharfevents.Field{Name: "target", Value: address},
 		wharfevents.Field{Name: "in-flight", Value: len(fingerprints)})
-	id := fmt.Sprintf("%s#%d.%d", address, s.View.Incarnation(), crash)
+	id := wharfquarantine.CrashID{Target: address, Incarnation: s.View.Incarnation(), Number: crash}
 	entries := s.Quarantine.Crash(time.Now(), id, fingerprints)
 	s.reportQuarantined(entries)
+	s.spread(c, entries)
+}
+
+// spread tells the other nodes of the service before the answer goes on.
+func (s *Server) spread(c *call, entries []wharfquarantine.Entry) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), spreadTimeout)
 	defer cancel()
-	s.Spreader.Spread(ctx, c.head.GetService(), entries, nil)
+	s.Spreader.Spread(ctx, c.head.GetService(), entries)
 }
 
 func (s *Server) reportQuarantined(entries []wharfquarantine.Entry) {
@@ -233,14 +237,11 @@
 	}
 }
 
-// succeeded clears a suspected request that ran without harm.
+// succeeded forgives a suspected request that ran without harm.
 func (s *Server) succeeded(c *call) {
-	if !s.Quarantine.Succeeded(c.fingerprint) {
-		return
+	if e, forgiven := s.Quarantine.Succeeded(time.Now(), c.fingerprint); forgiven {
+		s.spread(c, []wharfquarantine.Entry{e})
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), spreadTimeout)
-	defer cancel()
-	s.Spreader.Spread(ctx, c.head.GetService(), nil, []wharfquarantine.Fingerprint{c.fingerprint})
 }
 
 // settle closes the grant of the call and keeps what it says of those below.
--- a/wharfnode/internal/wharftarget/peer.go
+++ b/wharfnode/internal/wharftarget/peer.go
@@ -47,16 +47,32 @@
 }
 
 // PackSuspicions returns the message form of quarantine entries.
-func PackSuspicions(now time.Time, entries []wharfquarantine.Entry, cleared []wharfquarantine.Fingerprint) []*wharfwire.Suspicion {
-	out := make([]*wharfwire.Suspicion, 0, len(entries)+len(cleared))
+func PackSuspicions(now time.Time, entries []wharfquarantine.Entry) []*wharfwire.Suspicion {
+	out := make([]*wharfwire.Suspicion, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, &wharfwire.Suspicion{
-			Fingerprint: uint64(e.Fingerprint), Crashes: e.Crashes,
+			Fingerprint: uint64(e.Fingerprint), Crashes: packCrashes(e.Crashes),
 			Quarantined: e.Quarantined, TtlMs: e.Expires.Sub(now).Milliseconds(),
 		})
 	}
-	for _, fp := range cleared {
-		out = append(out, &wharfwire.Suspicion{Fingerprint: uint64(fp), Cleared: true})
+	return out
+}
+
+func packCrashes(crashes []wharfquarantine.Crash) []*wharfwire.Crash {
+	out := make([]*wharfwire.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, &wharfwire.Crash{
+			Target: c.Target, Incarnation: c.Incarnation, Number: uint32(c.Number), Forgiven: c.Forgiven,
+		})
+	}
+	return out
+}
+
+func unpackCrashes(crashes []*wharfwire.Crash) []wharfquarantine.Crash {
+	out := make([]wharfquarantine.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		id := wharfquarantine.CrashID{Target: c.GetTarget(), Incarnation: c.GetIncarnation(), Number: int(c.GetNumber())}
+		out = append(out, wharfquarantine.Crash{CrashID: id, Forgiven: c.GetForgiven()})
 	}
 	return out
 }
@@ -67,13 +83,9 @@
 	now := time.Now()
 	var news []wharfquarantine.Entry
 	for _, x := range suspicions {
-		if x.GetCleared() {
-			l.Succeeded(wharfquarantine.Fingerprint(x.GetFingerprint()))
-			continue
-		}
 		e, isNew := l.Merge(now, wharfquarantine.Entry{
 			Fingerprint: wharfquarantine.Fingerprint(x.GetFingerprint()),
-			Crashes:     x.GetCrashes(),
+			Crashes:     unpackCrashes(x.GetCrashes()),
 			Quarantined: x.GetQuarantined(),
 			Expires:     now.Add(time.Duration(x.GetTtlMs()) * time.Millisecond),
 		})
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -31,7 +31,7 @@
 
 // spreader tells the nodes of a service which requests crash targets.
 type spreader interface {
-	Spread(ctx context.Context, service string, entries []wharfquarantine.Entry, cleared []wharfquarantine.Fingerprint)
+	Spread(ctx context.Context, service string, entries []wharfquarantine.Entry)
 }
 
 // auditor records acts of the node.
