Wait until requests run before their callers leave

Cause: TestCancelledWorkLeaves waited until the node held all calls, and then let the callers go. A call that was admitted but had not reached the target yet was, rightly, taken back without ever arriving, so the count of cancelled ones could not be reached. Seen once in a run of the whole package under the race detector beside 16 busy loops. Ruled out: a leak of cancelled work; the node's counts were zero. Before: 60 s, then 'never happened'. Conclusion: the test is as strict, and its start is now certain.

--- a/wharfnode/internal/wharfserver/chain_test.go
+++ b/wharfnode/internal/wharfserver/chain_test.go
@@ -80,7 +80,9 @@
 			}
 		}()
 	}
-	wharftest.Eventually(t, "requests run and wait", func() bool { return n.target.Calls() == running+waiting })
+	wharftest.Eventually(t, "requests run and wait", func() bool {
+		return arrivals.Load() == running && n.target.Registry.Status()[0].Queued == waiting
+	})
 	cancel()
 	wharftest.Eventually(t, "the running ones are cancelled", func() bool { return cancelled.Load() == running })
 	wharftest.Eventually(t, "nothing is left", func() bool {
