Let waiting callers leave before running ones in the test

Ruled out: dispatch of a call whose cancellation the node had heard of; those are withdrawn under the lock of the gate. Conclusion: the test now brings the two cases apart that it names.

--- a/wharfnode/internal/wharfserver/chain_test.go
+++ b/wharfnode/internal/wharfserver/chain_test.go
@@ -12,6 +12,7 @@
 
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharftest"
 )
 
@@ -67,27 +68,35 @@
 		cancelled.Add(1)
 	})
 	const running, waiting = 4, 3 // a cold target runs four
+	status := func() wharftarget.Status { return n.target.Registry.Status()[0] }
+	leaveRunning := n.sendMany("work", running)
+	wharftest.Eventually(t, "requests run", func() bool { return arrivals.Load() == running })
+	leaveWaiting := n.sendMany("work", waiting)
+	wharftest.Eventually(t, "requests wait", func() bool { return status().Queued == waiting })
+	leaveWaiting()
+	wharftest.Eventually(t, "the waiting ones leave", func() bool { return status().Queued == 0 })
+	leaveRunning()
+	wharftest.Eventually(t, "the running ones are cancelled", func() bool { return cancelled.Load() == running })
+	wharftest.Eventually(t, "nothing is left", func() bool {
+		return n.target.Calls() == 0 && status().Running == 0 && status().Queued == 0
+	})
+	is.Equal(arrivals.Load(), int32(running))
+}
+
+// sendMany sends requests at once and returns what makes their callers leave.
+func (n *testNode) sendMany(service string, count int) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
-	for range running + waiting {
+	for range count {
 		go func() {
 			r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.caller, http.NoBody)
 			if err != nil {
 				return
 			}
-			r.Header.Set(wharfwire.HeaderService, "work")
+			r.Header.Set(wharfwire.HeaderService, service)
 			if response, err := http.DefaultClient.Do(r); err == nil {
 				_ = response.Body.Close()
 			}
 		}()
 	}
-	wharftest.Eventually(t, "requests run and wait", func() bool {
-		return arrivals.Load() == running && n.target.Registry.Status()[0].Queued == waiting
-	})
-	cancel()
-	wharftest.Eventually(t, "the running ones are cancelled", func() bool { return cancelled.Load() == running })
-	wharftest.Eventually(t, "nothing is left", func() bool {
-		s := n.target.Registry.Status()[0]
-		return n.target.Calls() == 0 && s.Running == 0 && s.Queued == 0
-	})
-	is.Equal(arrivals.Load(), int32(running))
+	return cancel
 }
