Confine a request to two targets until it is known to be harmless

Cause: a request that crashes its targets, sent through several nodes at the same moment, ran on as many targets as there are senders. Suspicion and quarantine only act after the first crash. Ruled out: telling of the crash more quickly (all are in flight by then); an arbiter in the failure domain (one more message for each booking); serialising first runs at the sender (bounds one node only). Before: TestCrashingRequestSentToAllAtOnce (5 nodes, 5 targets) fails with more than two crashed targets. After: it passes. Senders choose by rendezvous hash of the fingerprint among two targets of each failure domain until the request has been answered once; the node of a third target refuses a suspect. Bystanders are served again at once with 1, 2 and 5 targets, through any node.

--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -43,6 +43,7 @@
 	ReasonDeadline         Reason = "deadline"
 	ReasonLeaving          Reason = "leaving"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonSuspected        Reason = "suspected"
 	ReasonAttemptsSpent    Reason = "attempts-spent"
 	ReasonHomeUnreachable  Reason = "home-unreachable"
 	ReasonHomeMoved        Reason = "home-moved"
--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -204,8 +204,17 @@
 // Suspected reports whether a request was in flight in a crash and has not run
 // without harm since.
 func (l *List) Suspected(now time.Time, fp Fingerprint) bool {
+	_, suspected := l.Suspicion(now, fp)
+	return suspected
+}
+
+// Suspicion returns what is held against a request, if anything is.
+func (l *List) Suspicion(now time.Time, fp Fingerprint) (Entry, bool) {
 	e, ok := l.lookup(now, fp)
-	return ok && e.Suspected()
+	if !ok || !e.Suspected() {
+		return Entry{}, false
+	}
+	return e, true
 }
 
 func (l *List) lookup(now time.Time, fp Fingerprint) (Entry, bool) {
--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -27,6 +27,8 @@
 	Only string
 	// IgnoreLevels sends the request however the service is loaded.
 	IgnoreLevels bool
+	// Confinement bounds the targets that may run the request.
+	Confinement Confinement
 }
 
 // Balancer spreads the requests of a node over the targets of a service. It
@@ -58,7 +60,7 @@
 	for _, t := range targets {
 		s := b.find(t.Address)
 		if s == nil {
-			s = &state{added: now}
+			s = &state{added: now, hash: hashAddress(t.Address)}
 			if first {
 				// Nothing is known of any target, so none is newer.
 				s.added = now.Add(-slowStart)
@@ -104,6 +106,10 @@
 	if len(candidates) == 0 {
 		return Target{}, wharfoutcome.ReasonOverload
 	}
+	candidates = r.Confinement.confine(candidates, b.states)
+	if len(candidates) == 0 {
+		return Target{}, wharfoutcome.ReasonSuspected
+	}
 	s := b.cheaper(now, candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))])
 	s.inFlight++
 	return s.Target, wharfoutcome.ReasonNone
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -76,6 +76,8 @@
 // state is what a node has learnt of a target from its own calls.
 type state struct {
 	Target
+	// hash is that of the address.
+	hash     uint64
 	added    time.Time
 	inFlight int
 	latency  float64
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -103,7 +103,7 @@
 		Caller:        c.caller,
 		Key:           c.key,
 		KeyMinted:     c.key == "",
-		Fingerprint:   c.fingerprint,
+		Fingerprint:   uint64(c.fingerprint),
 		ContentLength: c.body.length,
 		StateOffset:   e.View.State().Offset(),
 		Streams:       c.body.rest != nil,
--- a/wharfnode/internal/wharfentry/body.go
+++ b/wharfnode/internal/wharfentry/body.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfquarantine"
 )
 
 // replayBytes is how much of a body is kept for a second attempt, in bytes. A
@@ -50,12 +51,12 @@
 }
 
 // fingerprintOf identifies a request by what its target gets to see.
-func fingerprintOf(c *call) uint64 {
+func fingerprintOf(c *call) wharfquarantine.Fingerprint {
 	d := xxhash.New()
 	for _, part := range []string{c.service, c.r.Method, c.r.URL.RequestURI()} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(c.body.prefix)
-	return d.Sum64()
+	return wharfquarantine.Fingerprint(d.Sum64())
 }
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -35,9 +35,10 @@
 	Log        wharfevents.Log
 	Metrics    wharfevents.Metrics
 
-	routes routes
-	ratio  wharfbudget.RetryRatio
-	calls  atomic.Int64
+	routes   routes
+	ratio    wharfbudget.RetryRatio
+	harmless wharfquarantine.Harmless
+	calls    atomic.Int64
 }
 
 // call is a request on its way through the filters.
@@ -61,7 +62,7 @@
 	priority wharfadmission.Priority
 	body     body
 	// fingerprint identifies the request over its resends.
-	fingerprint uint64
+	fingerprint wharfquarantine.Fingerprint
 }
 
 // route names the kind of request that admission levels are kept for.
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -5,7 +5,6 @@
 
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
-	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfrouting"
 )
 
@@ -21,6 +20,9 @@
 	call  *call
 	route *route
 	tried []string
+	// mayHaveCrashed lists the targets where the request may have run and whose
+	// answer didn't come.
+	mayHaveCrashed []string
 	// tries counts the attempts that were sent.
 	tries int
 	last  attemptResult
@@ -115,6 +117,7 @@
 		Tried: s.tried, IgnoreLevels: !s.entry.Variant.Levels,
 	}
 	if c.policy.Idempotent || c.key == "" {
+		r.Confinement = s.confinement()
 		return r, wharfoutcome.ReasonNone
 	}
 	owner, ok := s.entry.View.Homes().Table.Owner(c.service, c.key)
@@ -133,11 +136,17 @@
 	} else {
 		s.call.grant.undo(down)
 	}
+	if s.last.outcome.Reason == wharfoutcome.ReasonSuspected {
+		// The target's node knows of a crash that this one hasn't heard of.
+		s.entry.harmless.Remove(s.call.fingerprint)
+	}
 	switch s.last.outcome.Kind {
 	case wharfoutcome.Completed:
 		s.entry.ratio.Success()
+		s.entry.exonerate(s.call)
 	case wharfoutcome.Unknown:
 		s.uncertain, s.mayHaveRun = s.last.outcome, true
+		s.mayHaveCrashed = append(s.mayHaveCrashed, target.Address)
 	}
 }
 
@@ -171,7 +180,7 @@
 }
 
 func (s *sending) suspected() bool {
-	return s.entry.Quarantine.Suspected(time.Now(), wharfquarantine.Fingerprint(s.call.fingerprint))
+	return s.entry.Quarantine.Suspected(time.Now(), s.call.fingerprint)
 }
 
 // pause waits before the next attempt. It is false if the deadline comes first.
--- a/wharfnode/internal/wharfserver/trouble_test.go
+++ b/wharfnode/internal/wharfserver/trouble_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,41 +48,92 @@
 	is.True(refused >= 10)
 }
 
-// TestBystanderOfCrashIsServed lets a harmless request be in flight while
-// another one crashes its target.
-func TestBystanderOfCrashIsServed(t *testing.T) {
+// TestCrashingRequestSentToAllAtOnce sends a request that crashes its targets
+// through all nodes of a failure domain at the same moment, and then again.
+func TestCrashingRequestSentToAllAtOnce(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(t)
-	n := m.start("domain-a")
-	other := m.start("domain-a")
-	inside := make(chan struct{})
-	var broken atomic.Bool
-	handler := func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/beside" && !broken.Load() {
-			close(inside)
-			for !broken.Load() {
-				time.Sleep(time.Millisecond)
-			}
+	const nodes = 5
+	var mu sync.Mutex
+	crashed := map[int]bool{}
+	release := make(chan struct{})
+	for i := range nodes {
+		m.serve(m.start("domain-a"), "reads", func(w http.ResponseWriter, _ *http.Request) {
+			<-release
+			mu.Lock()
+			crashed[i] = true
+			mu.Unlock()
 			breakOff(w)
-			return
+		})
+	}
+	calls := func() int {
+		n := 0
+		for _, node := range m.nodes {
+			n += node.target.Calls()
 		}
-		if r.URL.Path == "/deadly" {
+		return n
+	}
+	replies := make(chan reply, nodes)
+	for _, n := range m.nodes {
+		go func() { replies <- n.send(request{service: "reads", path: "/deadly"}) }()
+	}
+	wharftest.Eventually(t, "all are under way", func() bool { return calls() == nodes })
+	close(release)
+	for range nodes {
+		is.True((<-replies).status != 200)
+	}
+	for i := range 3 * nodes {
+		m.nodes[i%nodes].send(request{service: "reads", path: "/deadly"})
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(len(crashed) <= 2)
+}
+
+// TestBystanderOfCrashIsServed lets a harmless request be in flight at a target
+// while another one crashes it. It is then served again, through any node and
+// also if there is no other target.
+func TestBystanderOfCrashIsServed(t *testing.T) {
+	for _, targets := range []int{1, 2, 5} {
+		t.Run(fmt.Sprint(targets, " targets"), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t)
+			var broken atomic.Bool
+			inside := make(chan struct{})
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case broken.Load():
+					hello(w, r)
+				case r.URL.Path == "/beside":
+					close(inside)
+					for !broken.Load() {
+						time.Sleep(time.Millisecond)
+					}
+					breakOff(w)
+				default:
+					broken.Store(true)
+					breakOff(w)
+				}
+			}
+			first := m.start("domain-a")
+			m.serve(first, "reads", handler)
+			done := make(chan reply)
+			go func() { done <- first.send(request{service: "reads", path: "/beside"}) }()
 			<-inside
-			broken.Store(true)
-			breakOff(w)
-			return
-		}
-		hello(w, r)
+			first.send(request{service: "reads", path: "/deadly"})
+			is.True((<-done).status != 200)
+			for range targets - 1 {
+				m.serve(m.start("domain-a"), "reads", hello)
+			}
+			for range 3 {
+				for _, n := range m.nodes {
+					got := n.send(request{service: "reads", path: "/beside"})
+					is.Equal(got.reason, "")
+					is.Equal(got.status, 200)
+				}
+			}
+		})
 	}
-	m.serve(n, "reads", handler)
-	done := make(chan reply)
-	go func() { done <- n.send(request{service: "reads", path: "/beside"}) }()
-	<-inside
-	n.send(request{service: "reads", path: "/deadly"})
-	<-done
-	m.serve(other, "reads", hello)
-	is.Equal(n.send(request{service: "reads", path: "/beside"}).status, 200)
-	is.Equal(other.send(request{service: "reads", path: "/beside"}).status, 200)
 }
 
 // TestFailedReadIsTriedElsewhere breaks off a read on one of two targets.
