Send what one target refused to where less important work waits

Cause: the new property over a whole service (up to 6 gates, a sender that hears of each change, 30,000 random runs) finds requests refused for good while less important ones wait elsewhere. Three reasons: the admission level of a target kept a request from it although less important work waited there; the next target was chosen by load alone, so attempts went to targets that refuse too; and "lowest rank" counted work that runs, which can't give way, while room in a queue wasn't known at all. Ruled out: the order within a gate (its own property holds); attempts (a request that was let in and displaced four times has spent them rightly: the trace showed it, so the check counts attempts refused at once, and allows two). Before: fails after 13 runs (order) and 19 (levels). After: 30,000 runs pass. The sender of the test knows all loads at once; a real one knows those of its last second.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -170,8 +170,11 @@
 	Queued  int
 	Limit   int
 	Level   Priority
-	// LowestRank is the largest rank that runs or waits, -1 if idle.
+	// LowestRank is the largest rank that waits, -1 if none does. It gives way
+	// to a more important request.
 	LowestRank int
+	// Room is how many more requests may wait.
+	Room int
 }
 
 // Load returns the present load.
@@ -182,13 +185,11 @@
 		Limit:      g.cfg.Limiter.Limit(),
 		Level:      LevelOpen,
 		LowestRank: g.queue.lowestRank(),
+		Room:       max(g.queueCapacity()-g.queue.len(), 0),
 	}
 	if g.cfg.Levels {
 		l.Level = g.level.Threshold()
 	}
-	for _, t := range g.running {
-		l.LowestRank = max(l.LowestRank, t.Rank)
-	}
 	return l
 }
 
@@ -318,13 +319,16 @@
 
 // shed refuses the least important waiting requests beyond the capacity.
 func (g *Gate) shed(fx *Effects) {
-	capacity := max(queuePerSlot*g.cfg.Limiter.Limit(), minQueue)
-	for g.queue.len() > capacity {
+	for g.queue.len() > g.queueCapacity() {
 		g.refusedFull = true
 		g.dropLast(fx)
 	}
 }
 
+func (g *Gate) queueCapacity() int {
+	return max(queuePerSlot*g.cfg.Limiter.Limit(), minQueue)
+}
+
 func (g *Gate) dropLast(fx *Effects) {
 	t := g.queue.remove(g.queue.last(g.ranking()))
 	g.refuse(fx, t.ID, wharfoutcome.ReasonOverload)
--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -106,6 +106,9 @@
 	if len(candidates) == 0 {
 		return Target{}, wharfoutcome.ReasonOverload
 	}
+	if len(r.Tried) > 0 {
+		candidates = b.promising(now, candidates, r)
+	}
 	candidates = r.Confinement.confine(candidates, b.states)
 	if len(candidates) == 0 {
 		return Target{}, wharfoutcome.ReasonSuspected
@@ -156,7 +159,12 @@
 	return float64(ejected) > panicShare*float64(total)
 }
 
+// admits reports whether a target may take the request by its admission level.
+// One that holds less important work would shed that instead.
 func (b *Balancer) admits(now time.Time, s *state, r Request) bool {
+	if s.holdsLower(now, r.Rank) {
+		return true
+	}
 	for _, l := range b.levels {
 		if l.target == s.Address && l.route == r.Route {
 			return now.Sub(l.at) >= reportLife || r.Priority <= l.level
@@ -188,22 +196,45 @@
 	}
 }
 
-// RunsLowerWork reports whether another target still runs less important work
-// than the request, so that a refusal isn't the last word of the service.
-func (b *Balancer) RunsLowerWork(now time.Time, r Request) bool {
+// HoldsLowerWork reports whether less important work than the request still waits
+// at another target, so that a refusal isn't the last word of the service.
+func (b *Balancer) HoldsLowerWork(now time.Time, r Request) bool {
 	for _, s := range b.candidates(now, r) {
-		if s.fresh(now) && s.report.LowestRank > r.Rank {
+		if s.holdsLower(now, r.Rank) {
 			return true
 		}
 	}
 	return false
 }
 
-// HasRoom reports whether another target is known to run below its limit, so
+// promising returns those of the candidates that are known to hold less
+// important work, else those known to have room, else all. A request that was
+// refused goes there next, before its attempts are spent.
+func (b *Balancer) promising(now time.Time, candidates []*state, r Request) []*state {
+	var lower, room []*state
+	for _, s := range candidates {
+		switch {
+		case s.holdsLower(now, r.Rank):
+			lower = append(lower, s)
+		case s.hasRoom(now):
+			room = append(room, s)
+		}
+	}
+	switch {
+	case len(lower) > 0:
+		return lower
+	case len(room) > 0:
+		return room
+	default:
+		return candidates
+	}
+}
+
+// HasRoom reports whether another target is known to let more requests in, so
 // that the refusal of one target isn't that of the service.
 func (b *Balancer) HasRoom(now time.Time, r Request) bool {
 	for _, s := range b.candidates(now, r) {
-		if s.fresh(now) && s.report.Queued == 0 && s.report.Running < s.report.Limit && b.admits(now, s, r) {
+		if s.hasRoom(now) && b.admits(now, s, r) {
 			return true
 		}
 	}
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -21,10 +21,13 @@
 
 // Report is what an answer says of the load of its target.
 type Report struct {
-	Running    int
-	Queued     int
-	Limit      int
+	Running int
+	Queued  int
+	Limit   int
+	// LowestRank is the largest rank that waits.
 	LowestRank int
+	// Room is how many more requests may wait.
+	Room int
 	// RouteLevel is the lowest admission level that requests of this route met
 	// at the target or below it.
 	RouteLevel wharfadmission.Priority
@@ -97,6 +100,17 @@
 	return !s.reported.IsZero() && now.Sub(s.reported) < reportLife
 }
 
+// holdsLower reports whether work less important than a rank is known to wait
+// at the target, so that it would give way.
+func (s *state) holdsLower(now time.Time, rank int) bool {
+	return s.fresh(now) && s.report.LowestRank > rank
+}
+
+// hasRoom reports whether more requests are known to be let in at the target.
+func (s *state) hasRoom(now time.Time) bool {
+	return s.fresh(now) && s.report.Room > 0
+}
+
 // cost estimates how long a request would take here, in arbitrary units.
 func (s *state) cost(now time.Time, p Place) float64 {
 	limit, busy := s.Slots, s.inFlight
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -261,6 +261,7 @@
 		Queued:     int(l.GetQueued()),
 		Limit:      int(l.GetLimit()),
 		LowestRank: int(l.GetLowestRank()),
+		Room:       int(l.GetRoom()),
 		RouteLevel: wharfadmission.Priority(min(l.GetRouteLevel(), uint32(wharfadmission.LevelOpen))),
 		RetryAfter: time.Duration(head.GetRetryAfterMs()) * time.Millisecond,
 	}
--- a/wharfnode/internal/wharfentry/routes.go
+++ b/wharfnode/internal/wharfentry/routes.go
@@ -78,7 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return !r.balancer.RunsLowerWork(now, q) && !r.balancer.HasRoom(now, q)
+	return !r.balancer.HoldsLowerWork(now, q) && !r.balancer.HasRoom(now, q)
 }
 
 // closed returns how far the level of the service for a kind of request is
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -151,5 +151,6 @@
 		Limit:      uint32(l.Limit),
 		RouteLevel: uint32(level),
 		LowestRank: uint32(max(l.LowestRank, 0)),
+		Room:       uint32(l.Room),
 	}
 }
