Tell a resend what this node has run, whoever may take the key now

Cause: the new test of a booking that runs through a cut found a home whose view of the log wasn't confirmed telling a resend "not-run, home-catching-up" while its own target was running the key for the first send. The checks of view, ownership and offset came before the record. A former home answered alike after a move. Ruled out: the first send (its outcome was right); a second effect (there was none). The harm is a caller who believes it and books anew with another key. Before: TestBookingRunsThroughCut/view of the home not confirmed fails. After: a key that was dispatched here is answered by its record (join, kept answer, unknown, or 422 for another body); waiting and unknown keys are refused as before. A sender that can't reach the home still says not-run of this send, as the design has it.

--- a/wharf/wharfhome/home.go
+++ b/wharf/wharfhome/home.go
@@ -19,14 +19,15 @@
 	Consult []Owner
 }
 
-// Receive decides on a request for a key.
+// Receive decides on a request for a key. What this node has run it knows
+// whoever the home is at present, and however old its view of the log.
 func (h Home) Receive(now time.Time, v View, id KeyID, fingerprint uint64, horizon Horizon) Plan {
 	if v.stale(now, horizon) {
-		return Plan{Decision: refusal(wharfoutcome.Refuse(wharfoutcome.ReasonHomeCatchingUp))}
+		return Plan{Decision: h.recall(id, fingerprint, wharfoutcome.ReasonHomeCatchingUp)}
 	}
 	r, ok := v.Table.Resolve(now, id.Service, id.Key, horizon)
 	if !ok || !r.Owner.Same(h.Self) {
-		return Plan{Decision: refusal(wharfoutcome.Refuse(wharfoutcome.ReasonHomeMoved))}
+		return Plan{Decision: h.recall(id, fingerprint, wharfoutcome.ReasonHomeMoved)}
 	}
 	d := h.Keys.Begin(now, id, fingerprint, r.Since)
 	if d.Step != Take {
@@ -38,6 +39,21 @@
 	return Plan{Decision: d, Consult: r.Consult}
 }
 
+// CatchUp decides on a request whose sender knows more of the log than this
+// node.
+func (h Home) CatchUp(id KeyID, fingerprint uint64) Plan {
+	return Plan{Decision: h.recall(id, fingerprint, wharfoutcome.ReasonHomeCatchingUp)}
+}
+
+// recall decides on a request that may not be taken: by the record of the key
+// if it was dispatched here, else it is refused for a reason.
+func (h Home) recall(id KeyID, fingerprint uint64, reason wharfoutcome.Reason) Decision {
+	if d, dispatched := h.Keys.Recall(id, fingerprint); dispatched {
+		return d
+	}
+	return refusal(wharfoutcome.Refuse(reason))
+}
+
 // Unreachable ends a request whose key an earlier home could not close. The
 // request didn't run here, but an earlier send of it may have run there.
 func (h Home) Unreachable(id KeyID) Decision {
--- a/wharf/wharfhome/keys.go
+++ b/wharf/wharfhome/keys.go
@@ -123,6 +123,22 @@
 	return e.decide()
 }
 
+// Recall decides on a request for a key that was dispatched here, and reports
+// whether one was. It takes no key.
+func (k *Keys) Recall(id KeyID, fingerprint uint64) (Decision, bool) {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[id]
+	if !known || e.State == Waiting || e.State == Closed {
+		return Decision{}, false
+	}
+	if e.Fingerprint != fingerprint {
+		return refusal(wharfoutcome.Refuse(wharfoutcome.ReasonKeyMismatch)), true
+	}
+	return e.decide(), true
+}
+
 func (e Entry) decide() Decision {
 	switch {
 	case e.State == Waiting || e.State == Running:
--- a/wharf/wharfhome/keys_test.go
+++ b/wharf/wharfhome/keys_test.go
@@ -76,6 +76,50 @@
 	}
 }
 
+// TestHomeTellsWhatItRan asks nodes that may not take a key: for one that they
+// have dispatched, they know better than to say that it didn't run.
+func TestHomeTellsWhatItRan(t *testing.T) {
+	id := KeyID{"bookings", "caller", "k"}
+	self := Owner{Node: "n", Incarnation: 1}
+	nodes := []struct {
+		name    string
+		receive func(h Home, body uint64) Plan
+		reason  wharfoutcome.Reason
+	}{
+		{"view too old", func(h Home, body uint64) Plan {
+			return h.Receive(epoch, View{}, id, body, Horizon{Staleness: time.Second})
+		}, wharfoutcome.ReasonHomeCatchingUp},
+		{"home moved", func(h Home, body uint64) Plan {
+			return h.Receive(epoch, View{Table: &Table{}, Fresh: epoch}, id, body, Horizon{Staleness: time.Second})
+		}, wharfoutcome.ReasonHomeMoved},
+		{"sender knows more", func(h Home, body uint64) Plan { return h.CatchUp(id, body) }, wharfoutcome.ReasonHomeCatchingUp},
+	}
+	steps := []struct {
+		name string
+		run  func(k *Keys)
+		step Step
+		want wharfoutcome.Kind
+	}{
+		{"waiting", func(k *Keys) { k.Begin(epoch, id, 1, 0) }, Refuse, wharfoutcome.NotRun},
+		{"running", func(k *Keys) { k.Dispatch(epoch, id) }, Join, 0},
+		{"answered", func(k *Keys) { k.Finish(epoch, id, &Answer{Whole: true}) }, Replay, 0},
+	}
+	for _, n := range nodes {
+		t.Run(n.name, func(t *testing.T) {
+			is := is.New(t)
+			h := Home{Self: self, Keys: &Keys{}}
+			is.Equal(n.receive(h, 1).Outcome, wharfoutcome.Refuse(n.reason))
+			for _, s := range steps {
+				s.run(h.Keys)
+				got := n.receive(h, 1)
+				is.Equal(got.Step, s.step)
+				is.Equal(got.Outcome.Kind, s.want)
+			}
+			is.Equal(n.receive(h, 2).Outcome.Reason, wharfoutcome.ReasonKeyMismatch)
+		})
+	}
+}
+
 func TestCloseStopsWaitingKey(t *testing.T) {
 	is := is.New(t)
 	var k Keys
--- a/wharfnode/internal/wharfserver/cut_test.go
+++ b/wharfnode/internal/wharfserver/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -75,3 +76,54 @@
 		is.Equal(e.get(fmt.Sprint("key-", i)), 1)
 	}
 }
+
+// TestBookingRunsThroughCut cuts the sender of a booking off from its home, or
+// the home off from all others and the log, while the target runs it. It is
+// resent to both sides, during the cut and after it.
+func TestBookingRunsThroughCut(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(home, sender *testNode, cut bool)
+	}{
+		{"home cut off from the log too", func(home, sender *testNode, cut bool) { setCut(sender, home, cut) }},
+		{"sender cut off from the log too", func(home, sender *testNode, cut bool) { setCut(home, sender, cut) }},
+		{"view of the home not confirmed", func(home, _ *testNode, cut bool) {
+			home.logLink.setCut(cut)
+			if cut {
+				home.view.Expire()
+			}
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t)
+			var e effects
+			home, sender := m.start("domain-a"), m.start("domain-b")
+			running, release := make(chan struct{}), make(chan struct{})
+			m.serve(home, "bookings", func(w http.ResponseWriter, r *http.Request) {
+				close(running)
+				<-release
+				e.book(w, r)
+			})
+			book := func(n *testNode) reply { return n.send(request{method: "POST", service: "bookings", key: "k"}) }
+			first := make(chan reply)
+			go func() { first <- book(sender) }()
+			<-running
+			tc.cut(home, sender, true)
+			joined := make(chan reply)
+			go func() { joined <- book(home) }()
+			close(release)
+			is.True((<-first).outcome != "not-run")
+			is.True((<-joined).outcome != "not-run")
+			tc.cut(home, sender, false)
+			for _, n := range m.nodes {
+				wharftest.Eventually(t, "a resend gets the answer", func() bool {
+					got := book(n)
+					return got.status == 200 && got.body == "booked k, effect 1"
+				})
+			}
+			is.Equal(e.get("k"), 1)
+		})
+	}
+}
--- a/wharfnode/internal/wharftarget/home.go
+++ b/wharfnode/internal/wharftarget/home.go
@@ -28,11 +28,8 @@
 	}
 	c.key = wharfhome.KeyID{Service: c.head.GetService(), Caller: c.head.GetCaller(), Key: c.head.GetKey()}
 	for {
-		if s.View.State().Offset() < c.head.GetStateOffset() {
-			return wharfoutcome.Refuse(wharfoutcome.ReasonHomeCatchingUp), false
-		}
 		ended := s.joiners.await(c.key)
-		plan := s.home().Receive(time.Now(), s.View.Homes(), c.key, c.head.GetFingerprint(), s.View.Horizon())
+		plan := s.receiveKey(c)
 		if plan.Step != wharfhome.Join {
 			s.joiners.leave(c.key, ended)
 			return s.step(c, s.consult(c, plan))
@@ -45,6 +42,15 @@
 	}
 }
 
+// receiveKey decides on a call with the caller's key.
+func (s *Server) receiveKey(c *call) wharfhome.Plan {
+	fingerprint := c.head.GetFingerprint()
+	if s.View.State().Offset() < c.head.GetStateOffset() {
+		return s.home().CatchUp(c.key, fingerprint)
+	}
+	return s.home().Receive(time.Now(), s.View.Homes(), c.key, fingerprint, s.View.Horizon())
+}
+
 func (s *Server) home() wharfhome.Home {
 	return wharfhome.Home{Self: s.View.Self(), Keys: s.Keys}
 }
