--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -156,14 +156,6 @@
 	return g.queue.removeID(id)
 }
 
-// Tick drops waiting requests that can't end in time any more.
-func (g *Gate) Tick(now time.Time) Effects {
-	var fx Effects
-	g.turn(now)
-	g.fill(now, &fx)
-	return fx
-}
-
 // Load is what senders are told of the target.
 type Load struct {
 	Running int
--- a/wharf/wharfadmission/gate_test.go
+++ b/wharf/wharfadmission/gate_test.go
@@ -79,21 +79,22 @@
 	return nil
 }
 
-func (w *witness) someRunning() (uint64, bool) {
-	least, found := uint64(0), false
-	for id := range w.running {
-		if !found || id < least {
-			least, found = id, true
+// least returns the least id of some tickets, so that runs can be repeated.
+func least(tickets map[uint64]Ticket) (uint64, bool) {
+	first, found := uint64(0), false
+	for id := range tickets {
+		if !found || id < first {
+			first, found = id, true
 		}
 	}
-	return least, found
+	return first, found
 }
 
 // step draws one event and checks its effects.
 func (w *witness) step(t *rapid.T, i int, now time.Time) error {
 	switch rapid.IntRange(0, 5).Draw(t, "event") {
 	case 0:
-		id, ok := w.someRunning()
+		id, ok := least(w.running)
 		if !ok {
 			return nil
 		}
@@ -102,7 +103,16 @@
 		latency := time.Duration(rapid.IntRange(1, 200).Draw(t, "latency")) * time.Millisecond
 		return w.apply(now, w.gate.Finish(now, id, latency, Answered))
 	case 1:
-		return w.apply(now, w.gate.Tick(now))
+		id, ok := least(w.waiting)
+		if !ok {
+			return nil
+		}
+		delete(w.waiting, id)
+		w.ended++
+		if !w.gate.Withdraw(id) {
+			return fmt.Errorf("%w: %d waited and could not be withdrawn", errInvariant, id)
+		}
+		return w.apply(now, Effects{})
 	default:
 		rank := rapid.IntRange(0, 3).Draw(t, "rank")
 		ticket := Ticket{
--- a/wharfnode/internal/wharfmesh/ownership.go
+++ b/wharfnode/internal/wharfmesh/ownership.go
@@ -203,13 +203,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := client.HandOver(ctx, &wharfwire.HandOverRequest{From: m.View.Node(), Records: records})
+	_, err = client.HandOver(ctx, &wharfwire.HandOverRequest{From: m.View.Node(), Records: records})
 	if err != nil {
 		return oops.Code("hand-over").Wrap(err)
 	}
-	if int(r.GetAccepted()) != len(records) {
-		return oops.Code("hand-over").Errorf("%s took %d of %d records", address, r.GetAccepted(), len(records))
-	}
 	return nil
 }
 
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -106,21 +105,6 @@
 	return wharfoutcome.Outcome{}, true
 }
 
-// brokeOff decides what an answer that ended early means.
-func (s *Server) brokeOff(c *call, ctx context.Context, senderLost bool) wharfoutcome.Outcome {
-	switch {
-	case !time.Now().Before(c.deadline):
-		return wharfoutcome.Uncertain(wharfoutcome.ReasonDeadline)
-	case senderLost || ctx.Err() != nil:
-		return wharfoutcome.Uncertain(wharfoutcome.ReasonCancelled)
-	case c.body.broken.Load():
-		return wharfoutcome.Uncertain(wharfoutcome.ReasonBodyIncomplete)
-	default:
-		s.blame(c)
-		return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
-	}
-}
-
 // isShed reports whether a status says that the target is overloaded.
 func isShed(code int) bool {
 	return code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests
--- /dev/null
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -0,0 +1,124 @@
+package wharftarget
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+)
+
+const (
+	// staleIdle is the idle time after which a lost connection says nothing of
+	// the target if it still accepts new ones.
+	staleIdle = time.Second
+	// probeTimeout bounds the probe of a target whose connection broke.
+	probeTimeout = 200 * time.Millisecond
+	// spreadTimeout bounds how long an answer waits for others to learn of a
+	// crash.
+	spreadTimeout = 300 * time.Millisecond
+)
+
+// failed decides what a dispatch without an answer means.
+func (s *Server) failed(c *call, ctx context.Context, conn connection, err error) wharfoutcome.Outcome {
+	excuse := c.excuse(ctx)
+	switch {
+	case !conn.got && excuse == wharfoutcome.ReasonNone:
+		return wharfoutcome.Refuse(wharfoutcome.ReasonUnreachable)
+	case !conn.got:
+		// There never was a connection, so nothing was sent.
+		return wharfoutcome.Refuse(excuse)
+	case excuse != wharfoutcome.ReasonNone:
+		return wharfoutcome.Uncertain(excuse)
+	}
+	s.Log.Emit(wharfevents.DispatchFailed,
+		wharfevents.Field{Name: "target", Value: c.target.info.Address},
+		wharfevents.Field{Name: "error", Value: err})
+	if conn.idle > staleIdle && s.accepts(c) {
+		return wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
+	}
+	s.blame(c)
+	return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
+}
+
+// brokeOff decides what an answer that ended early means.
+func (s *Server) brokeOff(c *call, ctx context.Context, senderLost bool) wharfoutcome.Outcome {
+	excuse := c.excuse(ctx)
+	if excuse == wharfoutcome.ReasonNone && senderLost {
+		excuse = wharfoutcome.ReasonCancelled
+	}
+	if excuse != wharfoutcome.ReasonNone {
+		return wharfoutcome.Uncertain(excuse)
+	}
+	s.blame(c)
+	return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
+}
+
+// excuse names what ended a dispatch, if it wasn't the target.
+func (c *call) excuse(ctx context.Context) wharfoutcome.Reason {
+	switch {
+	case !time.Now().Before(c.deadline):
+		return wharfoutcome.ReasonDeadline
+	case ctx.Err() != nil:
+		return wharfoutcome.ReasonCancelled
+	case c.body.broken.Load():
+		return wharfoutcome.ReasonBodyIncomplete
+	default:
+		return wharfoutcome.ReasonNone
+	}
+}
+
+// accepts reports whether the target takes new connections.
+func (s *Server) accepts(c *call) bool {
+	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(c.ctx, "tcp", c.target.info.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// blame makes the requests in flight suspects, and tells the other nodes of
+// the service before the sender can try again.
+func (s *Server) blame(c *call) {
+	fingerprints, crash := c.target.crashed(c)
+	if fingerprints == nil {
+		return
+	}
+	address := c.target.info.Address
+	s.Log.Emit(wharfevents.TargetCrashed,
+		wharfevents.Field{Name: "target", Value: address},
+		wharfevents.Field{Name: "in-flight", Value: len(fingerprints)})
+	id := wharfquarantine.CrashID{Target: address, Incarnation: s.View.Incarnation(), Number: crash}
+	entries := s.Quarantine.Crash(time.Now(), id, fingerprints)
+	s.reportQuarantined(entries)
+	s.spread(c, entries)
+}
+
+// spread tells the other nodes of the service before the answer goes on.
+func (s *Server) spread(c *call, entries []wharfquarantine.Entry) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), spreadTimeout)
+	defer cancel()
+	s.Spreader.Spread(ctx, c.head.GetService(), entries)
+}
+
+func (s *Server) reportQuarantined(entries []wharfquarantine.Entry) {
+	for _, e := range entries {
+		if !e.Quarantined {
+			continue
+		}
+		fp := wharfevents.Field{Name: "fingerprint", Value: strconv.FormatUint(uint64(e.Fingerprint), 16)}
+		s.Log.Emit(wharfevents.Quarantined, fp)
+		s.Auditor.Audit("quarantine", fp)
+	}
+}
+
+// succeeded forgives a suspected request that ran without harm.
+func (s *Server) succeeded(c *call) {
+	if e, forgiven := s.Quarantine.Succeeded(time.Now(), c.fingerprint); forgiven {
+		s.spread(c, []wharfquarantine.Entry{e})
+	}
+}
--- a/wharfnode/internal/wharftarget/peer.go
+++ b/wharfnode/internal/wharftarget/peer.go
@@ -43,7 +43,7 @@
 		s.Keys.Import(x)
 		s.joiners.wake(x.ID)
 	}
-	return &wharfwire.HandOverResponse{Accepted: uint32(len(r.GetRecords()))}, nil
+	return &wharfwire.HandOverResponse{}, nil
 }
 
 // PackSuspicions returns the message form of quarantine entries.
