Introduce joining nodes to some members instead of feeding them all

Cause: a node that starts took the whole table of members and the state from its first seed. 2,833 nodes that come back with their failure domain would take 5.4 GB of members from a few seeds (CAPACITY.md, where it breaks). Ruled out: other seeds in the settings of each VM (operators of two have to keep them); a bound on the exchanges that a seed answers (the nodes would wait). The contract test fails without it (256 digests and a record come back). How evenly the rest spreads at 17,000 nodes is reckoned, not measured.

--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -24,6 +24,9 @@
 	newsRecords = 8
 	// maxEntries bounds the entries in one message.
 	maxEntries = 512
+	// introducedEntries is about how many entries a node that joins gets from
+	// its seed. It takes the rest from those.
+	introducedEntries = 32
 	// maxSuspicions bounds the suspicions in one message.
 	maxSuspicions = 32
 )
@@ -107,6 +110,9 @@
 	if r.GetConfigOffset() > m.View.State().Offset() {
 		m.Hurry()
 	}
+	if r.GetIntroduction() {
+		return m.introduction(), nil
+	}
 	response := &wharfwire.ExchangeResponse{
 		ConfigOffset: m.View.State().Offset(),
 		Freshness:    m.freshness(now),
@@ -117,6 +123,16 @@
 	return response, nil
 }
 
+// introduction names some members to a node that joins, this one among them.
+func (m *Mesh) introduction() *wharfwire.ExchangeResponse {
+	response := &wharfwire.ExchangeResponse{Members: []*wharfwire.Member{packMember(m.View.SelfMember())}}
+	m.View.Members(func(t *wharfmember.Table) {
+		some := t.Differing(&wharfmember.Digests{}, newRand().IntN(wharfmember.Buckets), introducedEntries)
+		response.Members = append(response.Members, packMembers(some)...)
+	})
+	return response
+}
+
 // addState adds the records that the partner lacks, or a snapshot if they are
 // no longer kept.
 func (m *Mesh) addState(response *wharfwire.ExchangeResponse, offset uint64) {
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -66,7 +66,9 @@
 	}
 }
 
-// join tells the seeds that this node exists.
+// join tells the seeds that this node exists, and learns of some others from
+// them. Members and state come from those, so that nodes which start together
+// don't all ask few seeds for everything.
 func (r *rounds) join(ctx context.Context) {
 	self := r.mesh.View.SelfMember()
 	r.mesh.note([]wharfmember.Member{self})
@@ -75,7 +77,7 @@
 			continue
 		}
 		// A seed that can't be reached now is met by a later round of others.
-		_ = r.mesh.exchange(ctx, seed, r.mesh.View.State().Offset())
+		_ = r.mesh.introduce(ctx, seed)
 	}
 }
 
@@ -119,6 +121,25 @@
 	return m.sync(ctx, client, response)
 }
 
+// introduce tells a seed of this node and takes the members that it names.
+func (m *Mesh) introduce(ctx context.Context, address string) error {
+	client, err := m.Peers.Client(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := m.request(m.View.State().Offset())
+	request.Introduction = true
+	response, err := client.Exchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	m.countBytes(request, response)
+	m.takeMembers(unpackMembers(response.GetMembers()))
+	return nil
+}
+
 // sync exchanges entries until both tables are the same.
 func (m *Mesh) sync(ctx context.Context, client wharfwire.NodeClient, response *wharfwire.ExchangeResponse) error {
 	for i := 0; i < maxSyncs && len(response.GetBuckets()) > 0; i++ {
--- a/wharfnode/internal/wharfserver/peer_test.go
+++ b/wharfnode/internal/wharfserver/peer_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
@@ -67,6 +70,23 @@
 			is.True(frame.GetHead().GetLoad() != nil || tc.reason == "no-target")
 		})
 	}
+	t.Run("introduction", func(t *testing.T) {
+		is := is.New(t)
+		n.view.Members(func(t *wharfmember.Table) {
+			for i := range 2000 {
+				t.Merge(wharfmember.Member{Node: fmt.Sprint("domain-b/", i), FailureDomain: "domain-b", State: wharfmember.Left})
+			}
+		})
+		r, err := client.Exchange(context.Background(), &wharfwire.ExchangeRequest{Introduction: true})
+		is.NoErr(err)
+		is.Equal(len(r.GetRecords())+len(r.GetSnapshot())+len(r.GetBuckets()), 0)
+		is.True(proto.Size(r) < 16<<10)
+		found := false
+		for _, member := range r.GetMembers() {
+			found = found || member.GetNode() == n.view.Node()
+		}
+		is.True(found)
+	})
 	t.Run("consult", func(t *testing.T) {
 		is := is.New(t)
 		ask := &wharfwire.ConsultRequest{Service: "reads", Key: "k", Incarnation: n.view.Incarnation()}
