Let stand-in targets ignore cancellation, and test bookings without keys

Cause: the targets of the fault tests stopped work when their caller was lost, so a send that should never have been made could leave no effect; and bookings whose key a node mints had no test with real processes. Ruled out: counting arrivals instead of effects (a request that is taken back before it runs is no fault).

--- a/wharfnode/internal/wharfprocess/cluster_test.go
+++ b/wharfnode/internal/wharfprocess/cluster_test.go
@@ -235,14 +235,27 @@
 	reason  string
 }
 
+// headerTag names a request without key to the stand-in target, which counts
+// its effects.
+const headerTag = "X-Tag"
+
 // book sends a booking with a key.
 func (v *vm) book(key string, timeout time.Duration) reply {
+	return v.post(wharfwire.HeaderIdempotencyKey, key, timeout)
+}
+
+// bookWithoutKey sends a booking that only the target can tell from others.
+func (v *vm) bookWithoutKey(tag string, timeout time.Duration) reply {
+	return v.post(headerTag, tag, timeout)
+}
+
+func (v *vm) post(header, value string, timeout time.Duration) reply {
 	r, err := http.NewRequest(http.MethodPost, v.caller+"/bookings", strings.NewReader("slot 7"))
 	if err != nil {
 		return reply{}
 	}
 	r.Header.Set(wharfwire.HeaderService, "bookings")
-	r.Header.Set(wharfwire.HeaderIdempotencyKey, key)
+	r.Header.Set(header, value)
 	r.Header.Set(wharfwire.HeaderTimeout, fmt.Sprint(timeout.Milliseconds()))
 	client := http.Client{Timeout: timeout + 5*time.Second}
 	response, err := client.Do(r)
--- a/wharfnode/internal/wharfprocess/once_test.go
+++ b/wharfnode/internal/wharfprocess/once_test.go
@@ -80,6 +80,39 @@
 	}
 }
 
+// TestBookingWithoutKeyTakesEffectOnce brings each fault while a booking runs
+// whose key the node has minted. It is sent once; nothing on the way may send it
+// again, and what the caller is told must be true.
+func TestBookingWithoutKeyTakesEffectOnce(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScene(t)
+			// The sender has no target of its own, so that the VM which runs the
+			// request can fail without it.
+			s.other = s.startVM("domain-c", "reads")
+			s.settle()
+			first := make(chan reply, 1)
+			go func() { first <- s.other.bookWithoutKey(s.key, 2*time.Second) }()
+			wharftest.Eventually(t, "the request runs", func() bool {
+				for _, v := range s.vms {
+					if v.stats().Running > 0 {
+						s.owner = v
+						return true
+					}
+				}
+				return false
+			})
+			counted := s.effects()
+			f.breaks(s)
+			told := <-first
+			f.mend(s)
+			s.awaitEnd(t)
+			s.check(t, f.name == "target killed", counted, []reply{told})
+		})
+	}
+}
+
 // TestBookingTakesEffectOnceUnderTwoFaults brings two faults of different parts
 // while a booking runs.
 func TestBookingTakesEffectOnceUnderTwoFaults(t *testing.T) {
@@ -131,20 +164,38 @@
 			replies = append(replies, v.book(s.key, time.Second))
 		}
 	}
+	s.awaitEnd(t)
 	s.check(t, strings.Contains(f.name, "target killed"), counted, replies)
 }
 
+// awaitEnd waits until no target works any more.
+func (s *scene) awaitEnd(t *testing.T) {
+	t.Helper()
+	wharftest.Eventually(t, "nothing runs any more", func() bool {
+		running := 0
+		for _, v := range s.vms {
+			running += v.stats().Running
+		}
+		return running == 0
+	})
+}
+
 func newScene(t *testing.T) *scene {
 	t.Helper()
 	c := newCluster(t)
-	owner := c.startVM("domain-a", "bookings", "--service-time", "300ms")
-	other := c.startVM("domain-b", "bookings", "--service-time", "300ms")
+	// A target that works on when its caller is lost makes every send count.
+	owner := c.startVM("domain-a", "bookings", "--service-time", "300ms", "--ignore-cancellation")
+	other := c.startVM("domain-b", "bookings", "--service-time", "300ms", "--ignore-cancellation")
 	c.settle()
 	return &scene{cluster: c, owner: owner, other: other, key: c.keyOf(owner)}
 }
 
 func (s *scene) effects() int {
-	return s.owner.stats().Effects[s.key] + s.other.stats().Effects[s.key]
+	effects := 0
+	for _, v := range s.vms {
+		effects += v.stats().Effects[s.key]
+	}
+	return effects
 }
 
 // check compares what callers were told with what the targets did.
--- a/wharfstandin/internal/wharftargetservice/target.go
+++ b/wharfstandin/internal/wharftargetservice/target.go
@@ -58,6 +58,8 @@
 	NodeAdmin      string
 	NodeCaller     string
 	Labels         map[string]string
+	// IgnoreCancellation lets the target work on when its caller goes away.
+	IgnoreCancellation bool
 }
 
 // Control changes the target while it runs.
@@ -209,10 +211,11 @@
 		http.Error(w, "body broke off", http.StatusBadRequest)
 		return
 	}
+	ctx := t.workContext(r)
 	t.mu.Lock()
 	free, serviceTime := t.free, t.serviceTime
 	t.mu.Unlock()
-	if !t.acquire(r.Context(), free) {
+	if !t.acquire(ctx, free) {
 		refuse(w, wharfoutcome.ReasonOverload)
 		return
 	}
@@ -222,7 +225,7 @@
 	if time.Since(t.started) < t.cfg.ColdStart {
 		serviceTime *= coldFactor
 	}
-	if !work(r.Context(), serviceTime) {
+	if !work(ctx, serviceTime) {
 		return
 	}
 	if !t.callOn(w, r) {
@@ -235,6 +238,14 @@
 	t.answer(w, r)
 }
 
+// workContext bounds the work on a request.
+func (t *Target) workContext(r *http.Request) context.Context {
+	if t.cfg.IgnoreCancellation {
+		return context.WithoutCancel(r.Context())
+	}
+	return r.Context()
+}
+
 // acquire waits for a slot. It is false if the target sheds the request or the
 // caller goes away.
 func (t *Target) acquire(ctx context.Context, free chan struct{}) bool {
--- a/wharfstandin/target.go
+++ b/wharfstandin/target.go
@@ -22,6 +22,7 @@
 	CallPath    string            `default:"/work" env:"WHARF_CALL_PATH" help:"Path of the calls to other services."`
 	NodeAdmin   string            `default:"http://127.0.0.1:7002" env:"WHARF_NODE_ADMIN" help:"Admin URL of the node on this VM."`
 	NodeCaller  string            `default:"http://127.0.0.1:7000" env:"WHARF_NODE_CALLER" help:"Caller URL of the node on this VM."`
+	Ignore      bool              `name:"ignore-cancellation" env:"WHARF_IGNORE_CANCELLATION" help:"Work on when the caller goes away."`
 	Labels      map[string]string `env:"WHARF_LABELS" help:"Labels to announce."`
 }
 
@@ -44,6 +45,7 @@
 		Service: c.Service, Address: c.Listen, Slots: c.Slots, AnnouncedSlots: c.Announce,
 		ServiceTime: c.ServiceTime, ColdStart: c.ColdStart, ShedAt: c.ShedAt,
 		Calls: c.Calls, CallPath: c.CallPath, NodeAdmin: c.NodeAdmin, NodeCaller: c.NodeCaller, Labels: c.Labels,
+		IgnoreCancellation: c.Ignore,
 	})
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
