Tell every suspicion in the end, and name the fields of the admin API

An exchange sent the first 32 suspicions in the order of the shards, so that with more of them some were never sent; and two answers of the admin API had Go's field names, a fingerprint as a number that JSON readers round, and nanoseconds. Ruled out: a larger bound (12 KB/s for control). After: quarantines first, the others as chance has it; all 200 in 100 samples. Kebab case, hexadecimal fingerprints as in the audit trail, milliseconds; the contract test holds them. The shape of two admin answers changes.

--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -1,6 +1,8 @@
 package wharfquarantine
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -149,6 +151,24 @@
 	return out
 }
 
+// Sample returns at most n entries: quarantines first, and others as chance has
+// it, so that each is told to others in the end.
+func (l *List) Sample(now time.Time, rng *rand.Rand, n int) []Entry {
+	entries := l.Entries(now)
+	rng.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	slices.SortStableFunc(entries, func(a, b Entry) int {
+		switch {
+		case a.Quarantined == b.Quarantined:
+			return 0
+		case a.Quarantined:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return entries[:min(n, len(entries))]
+}
+
 // get returns the entry of a fingerprint, or a new one if it has expired.
 func (s *listShard) get(now time.Time, fp Fingerprint) Entry {
 	if e, ok := s.entries[fp]; ok && now.Before(e.Expires) {
--- a/wharf/wharfquarantine/list_test.go
+++ b/wharf/wharfquarantine/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -158,6 +159,28 @@
 	is.True(!l.Suspected(epoch, 1))
 }
 
+// TestSampleReachesEveryEntry takes samples that hold a part of the list only.
+func TestSampleReachesEveryEntry(t *testing.T) {
+	is := is.New(t)
+	var l List
+	const entries, size = 200, 32
+	for fp := range Fingerprint(entries) {
+		l.Crash(epoch, crash("a", 1), []Fingerprint{fp})
+	}
+	l.Crash(epoch, crash("b", 1), []Fingerprint{7})
+	rng := rand.New(rand.NewPCG(1, 2))
+	seen := map[Fingerprint]bool{}
+	for range 100 {
+		sample := l.Sample(epoch, rng, size)
+		is.Equal(len(sample), size)
+		is.Equal(sample[0].Fingerprint, Fingerprint(7)) // the quarantined one
+		for _, e := range sample {
+			seen[e.Fingerprint] = true
+		}
+	}
+	is.Equal(len(seen), entries)
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	var l List
 	for i := range Fingerprint(3 * maxEntries) {
--- a/wharfnode/internal/wharfadmin/api.go
+++ b/wharfnode/internal/wharfadmin/api.go
@@ -198,22 +198,3 @@
 func (a *API) audit(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, a.View.Config().Verdicts())
 }
-
-func (a *API) explain(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	if q.Get("service") == "" {
-		reply(w, http.StatusBadRequest, fault{"service-missing", "the parameter service is needed"})
-		return
-	}
-	method := q.Get("method")
-	if method == "" {
-		method = http.MethodGet
-	}
-	reply(w, http.StatusOK, a.View.Config().Classify(wharfconfig.RequestAttributes{
-		Service: q.Get("service"), Method: method, Path: q.Get("path"), Caller: q.Get("caller"),
-	}))
-}
-
-func (a *API) quarantine(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, a.Quarantine.Entries(time.Now()))
-}
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -79,8 +79,7 @@
 }
 
 func (m *Mesh) suspicions(now time.Time) []*wharfwire.Suspicion {
-	entries := m.Quarantine.Entries(now)
-	return wharftarget.PackSuspicions(now, entries[:min(len(entries), maxSuspicions)])
+	return wharftarget.PackSuspicions(now, m.Quarantine.Sample(now, newRand(), maxSuspicions))
 }
 
 // syncRequest builds a message that carries entries, given the digests of the
--- a/wharfnode/internal/wharfserver/admin_test.go
+++ b/wharfnode/internal/wharfserver/admin_test.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharfquarantine"
 )
 
 func TestAdminContract(t *testing.T) {
@@ -15,6 +18,8 @@
 	n := m.start("domain-a")
 	server := m.serve(n, "reads", hello)
 	address := strings.TrimPrefix(server.URL, "http://")
+	id := wharfquarantine.CrashID{Target: "127.0.0.1:1", Incarnation: 3, Number: 1}
+	n.entry.Quarantine.Crash(time.Now(), id, []wharfquarantine.Fingerprint{255})
 	tests := []struct {
 		name   string
 		method string
@@ -36,9 +41,10 @@
 		{"members", "GET", "/wharf/v1/members", "", 200, `"failure-domain":"domain-a"`},
 		{"configuration", "GET", "/wharf/v1/config", "", 200, `"offset":1`},
 		{"audit", "GET", "/wharf/v1/audit", "", 200, ""},
-		{"explain", "GET", "/wharf/v1/explain?service=reads", "", 200, `"Name":"default"`},
+		{"explain", "GET", "/wharf/v1/explain?service=reads", "", 200, `"class":"default","rank":7,"idempotent":true,"timeout-ms":5000`},
 		{"explain without service", "GET", "/wharf/v1/explain", "", 400, "service-missing"},
-		{"quarantine", "GET", "/wharf/v1/quarantine", "", 200, ""},
+		{"quarantine", "GET", "/wharf/v1/quarantine", "", 200, `"crashes":[{"target":"127.0.0.1:1","incarnation":3,"number":1,"forgiven":false}]`},
+		{"fingerprint as in the audit trail", "GET", "/wharf/v1/quarantine", "", 200, `[{"fingerprint":"ff","quarantined":false`},
 		{"metrics", "GET", "/metrics", "", 200, "wharf_state_offset 1"},
 		{"unknown path", "GET", "/wharf/v1/nothing", "", 404, ""},
 		{"leave", "DELETE", "/wharf/v1/targets?address=" + address, "", 204, ""},
