--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -43,8 +43,12 @@
   start_vm domain-a front --slots 200 --service-time 1ms
   start_vm domain-a other --slots 200 --service-time 1ms
   sleep 4
+  # Two plain HTTP hops are the floor that two nodes can be held against here.
+  start_relay "${target_urls[0]}"
+  start_relay "${target_urls[-1]}"
   local args=(--service front --rate 500 --duration 12s --timeout 1s)
   "$bin/wharfstandin" load --name "direct to the target" --entries "${target_urls[0]}" "${args[@]}" --json "$out/latency-direct.json"
+  "$bin/wharfstandin" load --name "through two plain relays" --entries "${target_urls[-1]}" "${args[@]}" --json "$out/latency-relays.json"
   "$bin/wharfstandin" load --name "through two nodes" --entries "${entry_urls[1]}" "${args[@]}" --json "$out/latency-nodes.json"
 }
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -69,6 +69,18 @@
   if [ "$node_count" -le 3 ]; then seeds="${seeds:+$seeds,}127.0.0.1:$((port + 1))"; fi
 }
 
+# start_relay URL: starts a target without a node that calls on to another one,
+# and prints nothing; its URL is the last of target_urls.
+start_relay() {
+  node_count=$((node_count + 1))
+  local port=$((base_port + 10 * node_count + 3))
+  "$bin/wharfstandin" target --listen "127.0.0.1:$port" --service relay --service-time 0s --slots 200 \
+    --calls next --node-caller "$1" --node-admin "$1" >"$run_dir/relay-$node_count.out" 2>&1 &
+  pids+=($!)
+  wait_for "127.0.0.1:$port"
+  target_urls+=("http://127.0.0.1:$port")
+}
+
 join_by_comma() {
   local IFS=,
   echo "$*"
