Call what is there instead of writing it again

A hand-made hex form, FNV hash and byte order beside the libraries that the modules use already; the same smoothing three times in the gate; a deadline check beside c.excuse; a count beside the list that it counts; loops that slices has. Nobody used Member.WithTarget, Registry.InFlight, call.arrived, nor what MergeSuspicions and List.Merge returned. Ruled out: any change of behaviour; digests sum the same bytes.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -205,10 +205,7 @@
 		return
 	}
 	g.latency.smooth(s.Rank, s.Latency.Seconds(), latencyWeight)
-	if g.hold == 0 {
-		g.hold = held.Seconds()
-	}
-	g.hold += latencyWeight * (held.Seconds() - g.hold)
+	g.hold = smooth(g.hold, held.Seconds(), latencyWeight)
 	g.drainCount++
 	g.measureDrain(now)
 }
@@ -222,11 +219,7 @@
 	if elapsed < drainWindow {
 		return
 	}
-	rate := float64(g.drainCount) / elapsed.Seconds()
-	if g.drainRate == 0 {
-		g.drainRate = rate
-	}
-	g.drainRate += drainWeight * (rate - g.drainRate)
+	g.drainRate = smooth(g.drainRate, float64(g.drainCount)/elapsed.Seconds(), drainWeight)
 	g.drainStart = now
 	g.drainCount = 0
 }
--- a/wharf/wharfadmission/limiter.go
+++ b/wharf/wharfadmission/limiter.go
@@ -73,8 +73,14 @@
 type rankLatency [rankCount]float64
 
 func (l *rankLatency) smooth(rank int, seconds, weight float64) {
-	if l[rank] == 0 {
-		l[rank] = seconds
+	l[rank] = smooth(l[rank], seconds, weight)
+}
+
+// smooth moves an average towards a value by a weight. The first value is taken
+// as it is.
+func smooth(average, value, weight float64) float64 {
+	if average == 0 {
+		return value
 	}
-	l[rank] += weight * (seconds - l[rank])
+	return average + weight*(value-average)
 }
--- a/wharf/wharfmember/member.go
+++ b/wharf/wharfmember/member.go
@@ -1,6 +1,7 @@
 package wharfmember
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strconv"
@@ -72,13 +73,6 @@
 	return m.State > other.State
 }
 
-// WithTarget returns the entry with a target added or replaced.
-func (m Member) WithTarget(t Target) Member {
-	m = m.WithoutTarget(t.Address)
-	m.Targets = append(m.Targets, t)
-	return m
-}
-
 // WithoutTarget returns the entry without a target.
 func (m Member) WithoutTarget(address string) Member {
 	m.Targets = slices.DeleteFunc(slices.Clone(m.Targets), func(t Target) bool {
@@ -101,17 +95,10 @@
 // digest sums up what makes two entries differ. Content follows from node,
 // incarnation and version, because only the node itself writes it.
 func (m Member) digest() uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(m.Node)
-	var b [18]byte
-	b[0] = 0
-	for i := range 8 {
-		b[1+i] = byte(m.Incarnation >> (8 * i))
-		b[9+i] = byte(m.Version >> (8 * i))
-	}
-	b[17] = byte(m.State)
-	_, _ = d.Write(b[:])
-	return d.Sum64()
+	b := append([]byte(m.Node), 0)
+	b = binary.LittleEndian.AppendUint64(b, m.Incarnation)
+	b = binary.LittleEndian.AppendUint64(b, m.Version)
+	return xxhash.Sum64(append(b, byte(m.State)))
 }
 
 // SameTarget reports whether two announcements say the same.
--- a/wharf/wharfquarantine/entry.go
+++ b/wharf/wharfquarantine/entry.go
@@ -43,7 +43,7 @@
 
 // Suspected reports whether a crash is held against the fingerprint.
 func (e Entry) Suspected() bool {
-	return e.blamed() > 0
+	return len(e.Targets()) > 0
 }
 
 // Targets lists the targets whose crashes are held against the fingerprint.
@@ -57,16 +57,6 @@
 	return out
 }
 
-func (e Entry) blamed() int {
-	n := 0
-	for _, c := range e.Crashes {
-		if !c.Forgiven {
-			n++
-		}
-	}
-	return n
-}
-
 func (e Entry) find(id CrashID) int {
 	return slices.IndexFunc(e.Crashes, func(c Crash) bool { return c.CrashID == id })
 }
@@ -85,7 +75,7 @@
 		crashes = append(dropForgiven(crashes), c)
 	}
 	e.Crashes = crashes
-	e.Quarantined = e.Quarantined || e.blamed() >= crashesToQuarantine
+	e.Quarantined = e.Quarantined || len(e.Targets()) >= crashesToQuarantine
 	return e, true
 }
 
--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -61,28 +61,23 @@
 	return e, true
 }
 
-// Merge takes an entry from another node and returns the combined entry, and
-// whether it was news.
-func (l *List) Merge(now time.Time, other Entry) (Entry, bool) {
+// Merge takes an entry from another node.
+func (l *List) Merge(now time.Time, other Entry) {
 	s := l.shard(other.Fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !now.Before(other.Expires) {
-		return other, false
+		return
 	}
 	e := s.get(now, other.Fingerprint)
-	news := other.Quarantined && !e.Quarantined
 	for _, c := range other.Crashes {
-		var changed bool
-		e, changed = e.with(c)
-		news = news || changed
+		e, _ = e.with(c)
 	}
 	e.Quarantined = e.Quarantined || other.Quarantined
 	if other.Expires.After(e.Expires) {
 		e.Expires = other.Expires
 	}
 	s.put(now, e)
-	return e, news
 }
 
 // Succeeded forgives a request that ran without harm, and returns the entry
--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -199,12 +199,7 @@
 // HoldsLowerWork reports whether less important work than the request still waits
 // at another target, so that a refusal isn't the last word of the service.
 func (b *Balancer) HoldsLowerWork(now time.Time, r Request) bool {
-	for _, s := range b.candidates(now, r) {
-		if s.holdsLower(now, r.Rank) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.candidates(now, r), func(s *state) bool { return s.holdsLower(now, r.Rank) })
 }
 
 // promising returns those of the candidates that are known to hold less
@@ -233,12 +228,7 @@
 // HasRoom reports whether another target is known to let more requests in, so
 // that the refusal of one target isn't that of the service.
 func (b *Balancer) HasRoom(now time.Time, r Request) bool {
-	for _, s := range b.candidates(now, r) {
-		if s.hasRoom(now) && b.admits(now, s, r) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.candidates(now, r), func(s *state) bool { return s.hasRoom(now) && b.admits(now, s, r) })
 }
 
 // Level returns the lowest level that a route met in the service, as long as
--- a/wharfnode/internal/wharfentry/identify.go
+++ b/wharfnode/internal/wharfentry/identify.go
@@ -1,6 +1,7 @@
 package wharfentry
 
 import (
+	"encoding/hex"
 	"net"
 	"net/http"
 
@@ -33,7 +34,7 @@
 	text := c.r.Header.Get(wharfwire.HeaderContext)
 	if text == "" {
 		id := uuid.New()
-		c.requestID = hexOf(id)
+		c.requestID = hex.EncodeToString(id[:])
 		return wharfoutcome.Outcome{}, true
 	}
 	return e.continueRequest(c, text)
@@ -74,12 +75,3 @@
 	}
 	return host
 }
-
-func hexOf(id uuid.UUID) string {
-	const digits = "0123456789abcdef"
-	var out [32]byte
-	for i, b := range id {
-		out[2*i], out[2*i+1] = digits[b>>4], digits[b&15]
-	}
-	return string(out[:])
-}
--- a/wharfnode/internal/wharfpeers/pool.go
+++ b/wharfnode/internal/wharfpeers/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -47,11 +48,7 @@
 }
 
 func (p *Pool) shard(address string) *poolShard {
-	h := uint32(2166136261)
-	for i := range len(address) {
-		h = (h ^ uint32(address[i])) * 16777619
-	}
-	return &p.shards[h%poolShards]
+	return &p.shards[xxhash.Sum64String(address)%poolShards]
 }
 
 // Client returns a client of the node at an address. Nothing is sent yet.
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -1,7 +1,6 @@
 package wharftarget
 
 import (
-	"context"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
@@ -19,7 +18,7 @@
 
 // admit lets a call wait for a slot of its target.
 func (s *Server) admit(c *call) (wharfoutcome.Outcome, bool) {
-	o, run := c.target.admit(c.ctx, c)
+	o, run := c.target.admit(c)
 	if !run {
 		s.abandonKey(c)
 		return o, false
@@ -34,7 +33,7 @@
 
 // admit waits until the call may run on the target. The outcome is the zero
 // value if it may.
-func (t *target) admit(ctx context.Context, c *call) (wharfoutcome.Outcome, bool) {
+func (t *target) admit(c *call) (wharfoutcome.Outcome, bool) {
 	decided := make(chan admission, 1)
 	now := time.Now()
 	t.mu.Lock()
@@ -45,7 +44,7 @@
 	select {
 	case a := <-decided:
 		return a.outcome, a.run
-	case <-ctx.Done():
+	case <-c.ctx.Done():
 		return t.withdraw(c, decided)
 	}
 }
@@ -64,11 +63,7 @@
 		}
 	default:
 	}
-	reason := wharfoutcome.ReasonCancelled
-	if !time.Now().Before(c.deadline) {
-		reason = wharfoutcome.ReasonDeadline
-	}
-	return wharfoutcome.Refuse(reason).WithRetryAfter(t.gate.RetryAfter()), false
+	return wharfoutcome.Refuse(c.excuse(c.ctx)).WithRetryAfter(t.gate.RetryAfter()), false
 }
 
 // apply tells waiting calls what the gate decided; the caller holds the lock.
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -1,6 +1,7 @@
 package wharftarget
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -25,13 +26,11 @@
 // failed decides what a dispatch without an answer means.
 func (s *Server) failed(c *call, ctx context.Context, conn connection, err error) wharfoutcome.Outcome {
 	excuse := c.excuse(ctx)
-	switch {
-	case !conn.got && excuse == wharfoutcome.ReasonNone:
-		return wharfoutcome.Refuse(wharfoutcome.ReasonUnreachable)
-	case !conn.got:
+	if !conn.got {
 		// There never was a connection, so nothing was sent.
-		return wharfoutcome.Refuse(excuse)
-	case excuse != wharfoutcome.ReasonNone:
+		return wharfoutcome.Refuse(cmp.Or(excuse, wharfoutcome.ReasonUnreachable))
+	}
+	if excuse != wharfoutcome.ReasonNone {
 		return wharfoutcome.Uncertain(excuse)
 	}
 	s.Log.Emit(wharfevents.DispatchFailed,
--- a/wharfnode/internal/wharftarget/peer.go
+++ b/wharfnode/internal/wharftarget/peer.go
@@ -77,21 +77,15 @@
 	return out
 }
 
-// MergeSuspicions takes the message form of quarantine entries and returns
-// those that were news.
-func MergeSuspicions(l *wharfquarantine.List, suspicions []*wharfwire.Suspicion) []wharfquarantine.Entry {
+// MergeSuspicions takes the message form of quarantine entries.
+func MergeSuspicions(l *wharfquarantine.List, suspicions []*wharfwire.Suspicion) {
 	now := time.Now()
-	var news []wharfquarantine.Entry
 	for _, x := range suspicions {
-		e, isNew := l.Merge(now, wharfquarantine.Entry{
+		l.Merge(now, wharfquarantine.Entry{
 			Fingerprint: wharfquarantine.Fingerprint(x.GetFingerprint()),
 			Crashes:     unpackCrashes(x.GetCrashes()),
 			Quarantined: x.GetQuarantined(),
 			Expires:     now.Add(time.Duration(x.GetTtlMs()) * time.Millisecond),
 		})
-		if isNew {
-			news = append(news, e)
-		}
 	}
-	return news
 }
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -67,7 +67,6 @@
 	stream      callStream
 	body        *callBody
 	config      *wharfconfig.Snapshot
-	arrived     time.Time
 	deadline    time.Time
 	fingerprint wharfquarantine.Fingerprint
 	target      *target
@@ -122,7 +121,6 @@
 		stream:      stream,
 		body:        newCallBody(stream, frame),
 		config:      s.View.Config(),
-		arrived:     now,
 		deadline:    now.Add(time.Duration(head.GetTimeoutMs()) * time.Millisecond),
 		fingerprint: wharfquarantine.Fingerprint(head.GetFingerprint()),
 		target:      s.Registry.serving(head.GetService(), head.GetTarget()),
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -155,17 +155,6 @@
 	return out
 }
 
-// InFlight returns the number of requests that targets have.
-func (g *Registry) InFlight() int {
-	n := 0
-	for _, t := range g.all() {
-		t.mu.Lock()
-		n += len(t.inFlight) + len(t.waiters)
-		t.mu.Unlock()
-	}
-	return n
-}
-
 // Status is what the admin API says of a target.
 type Status struct {
 	wharfmember.Target
