Keep accusations in one place

Cause: mesh and detector each kept the accusations of the last 5 s, with the same rule for dropping old and repeated ones and a constant each. Ruled out: different lifes for counting and passing on; they were equal. Before: two stores. After: the detector keeps them and says which stand; the mesh sends those.

--- a/wharf/wharfmember/detector.go
+++ b/wharf/wharfmember/detector.go
@@ -71,3 +71,14 @@
 	}
 	return reporters >= min(reportersNeeded, max(watchers, 1))
 }
+
+// Standing returns the accusations that still count, to be passed on.
+func (d *Detector) Standing(now time.Time) []Accusation {
+	var out []Accusation
+	for _, h := range d.accusations {
+		if now.Sub(h.at) < accusationLife {
+			out = append(out, h.Accusation)
+		}
+	}
+	return out
+}
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -50,12 +50,10 @@
 			r.Members = append(r.Members, packMember(rumour.member))
 		}
 	}
-	for _, a := range m.accusations {
-		if now.Sub(a.at) < accusationLife {
-			r.Accusations = append(r.Accusations, &wharfwire.Accusation{
-				Subject: a.Subject, Incarnation: a.Incarnation, Reporter: a.Reporter,
-			})
-		}
+	for _, a := range m.detector.Standing(now) {
+		r.Accusations = append(r.Accusations, &wharfwire.Accusation{
+			Subject: a.Subject, Incarnation: a.Incarnation, Reporter: a.Reporter,
+		})
 	}
 	return r
 }
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -53,10 +53,9 @@
 	// releasing says that a planned stop gives up the ownership of keys.
 	releasing atomic.Bool
 
-	mu          sync.Mutex
-	detector    wharfmember.Detector
-	rumours     []rumour
-	accusations []accusation
+	mu       sync.Mutex
+	detector wharfmember.Detector
+	rumours  []rumour
 }
 
 // Start makes the mesh ready to run and to be called.
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
@@ -19,8 +20,6 @@
 	rumourLife = 3 * time.Second
 	// maxRumours bounds the entries sent along with one exchange.
 	maxRumours = 32
-	// accusationLife is how long an accusation is sent along.
-	accusationLife = 5 * time.Second
 	// maxSyncs bounds the exchanges of entries in one round with one partner.
 	maxSyncs = 128
 )
@@ -31,11 +30,6 @@
 	at     time.Time
 }
 
-type accusation struct {
-	wharfmember.Accusation
-	at time.Time
-}
-
 // rounds exchanges with a few partners in each round.
 type rounds struct {
 	mesh  *Mesh
@@ -169,18 +163,16 @@
 	m.accuse(wharfmember.Accusation{Subject: p.Node, Incarnation: p.Incarnation, Reporter: m.View.Node()})
 }
 
-// accuse takes an accusation, own or heard, passes it on, and declares the
-// subject down when enough reporters agree.
+// accuse takes an accusation, own or heard, and declares the subject down when
+// enough reporters agree. The exchanges to come pass it on.
 func (m *Mesh) accuse(a wharfmember.Accusation) {
 	subject, known := m.View.Member(a.Subject)
 	if !known || subject.Incarnation != a.Incarnation || subject.State > wharfmember.Leaving {
 		return
 	}
 	watchers := m.View.Watchers(a.Subject)
-	now := time.Now()
 	m.mu.Lock()
-	m.passOn(now, a)
-	down := m.detector.Accuse(now, a, watchers)
+	down := m.detector.Accuse(time.Now(), a, watchers)
 	m.mu.Unlock()
 	if !down {
 		return
@@ -189,30 +181,12 @@
 	m.takeMembers([]wharfmember.Member{subject.WithState(wharfmember.Down)})
 }
 
-// passOn remembers an accusation for the next exchanges; the caller holds the
-// lock.
-func (m *Mesh) passOn(now time.Time, a wharfmember.Accusation) {
-	kept := m.accusations[:0]
-	for _, old := range m.accusations {
-		if now.Sub(old.at) < accusationLife && old.Accusation != a {
-			kept = append(kept, old)
-		}
-	}
-	kept = append(kept, accusation{a, now})
-	m.accusations = kept
-}
-
 // note remembers changed entries for the next exchanges.
 func (m *Mesh) note(members []wharfmember.Member) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	kept := m.rumours[:0]
-	for _, r := range m.rumours {
-		if now.Sub(r.at) < rumourLife {
-			kept = append(kept, r)
-		}
-	}
+	kept := slices.DeleteFunc(m.rumours, func(r rumour) bool { return now.Sub(r.at) >= rumourLife })
 	for _, member := range members {
 		kept = append(kept, rumour{member, now})
 	}
