Wait in one place

Cause: five copies of a sleep that ends with its context, in mesh, entry, publisher and the stand-ins for callers and targets. Before: five. After: wharftimer.Sleep; decision packages don't use it, the purity test still holds.

--- a/wharfctl/internal/wharfpublish/publisher.go
+++ b/wharfctl/internal/wharfpublish/publisher.go
@@ -13,6 +13,7 @@
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
+	"ragwortwharf.dev/wharf/wharftimer"
 )
 
 // platform is the log as publishing uses it.
@@ -131,7 +132,7 @@
 			return Result{Known: true, Verdict: verdict}
 		}
 		s = next
-		pause(ctx, retryPause)
+		wharftimer.Sleep(ctx, retryPause)
 	}
 	if !mayHaveLanded {
 		return Result{Known: true, Err: oops.Code("not-published").Wrapf(last, "nothing was published")}
@@ -149,15 +150,6 @@
 	return next, verdict, found
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Evict ends the ownership of a node that is gone for good.
 func (p Publisher) Evict(ctx context.Context, s *wharfstate.State, author, node string) error {
 	owner, ok := ownerOf(s, node)
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -6,6 +6,7 @@
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
+	"ragwortwharf.dev/wharf/wharftimer"
 )
 
 // plainTries is the number of tries at each hop of the baseline variant.
@@ -192,12 +193,5 @@
 	if time.Now().Add(wait).After(s.call.deadline) {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.call.ctx.Done():
-		return false
-	}
+	return wharftimer.Sleep(s.call.ctx, wait)
 }
--- a/wharfnode/internal/wharfmesh/audit.go
+++ b/wharfnode/internal/wharfmesh/audit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfstate"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 )
 
@@ -72,7 +73,7 @@
 		case r := <-w.queue:
 			w.write(ctx, w.collect(r))
 		}
-		if !wait(ctx, auditInterval) {
+		if !wharftimer.Sleep(ctx, auditInterval) {
 			w.flush()
 			return
 		}
@@ -107,7 +108,7 @@
 		if w.append(ctx, entries) == nil {
 			return
 		}
-		if !wait(ctx, time.Second<<min(try, 5)) {
+		if !wharftimer.Sleep(ctx, time.Second<<min(try, 5)) {
 			return
 		}
 	}
--- a/wharfnode/internal/wharfmesh/follower.go
+++ b/wharfnode/internal/wharfmesh/follower.go
@@ -13,6 +13,7 @@
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 )
 
@@ -51,12 +52,12 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.due() {
-			if !wait(ctx, roleInterval) {
+			if !wharftimer.Sleep(ctx, roleInterval) {
 				return
 			}
 			continue
 		}
-		if f.read(ctx) != nil && !wait(ctx, retryWait) {
+		if f.read(ctx) != nil && !wharftimer.Sleep(ctx, retryWait) {
 			return
 		}
 	}
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -92,18 +92,6 @@
 	}
 }
 
-// wait sleeps, and reports false when the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
--- a/wharfnode/internal/wharfmesh/ownership.go
+++ b/wharfnode/internal/wharfmesh/ownership.go
@@ -10,6 +10,7 @@
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfstate"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
@@ -33,7 +34,7 @@
 
 func (o *ownership) run(ctx context.Context) {
 	pause := ownershipInterval
-	for wait(ctx, pause) && !o.mesh.releasing.Load() {
+	for wharftimer.Sleep(ctx, pause) && !o.mesh.releasing.Load() {
 		o.startNewLife()
 		served, owned := o.mesh.served(), o.mesh.owned()
 		// A service without target keeps its keys here: the target may come
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 )
@@ -54,7 +55,7 @@
 		// Rounds don't keep step over the mesh, so no node is hit by all.
 		pause := roundInterval/2 + time.Duration(r.rng.Int64N(int64(roundInterval)))
 		timer.Reset(pause)
-		if !wait(ctx, hurryInterval) {
+		if !wharftimer.Sleep(ctx, hurryInterval) {
 			return
 		}
 	}
--- a/wharfnode/internal/wharfmesh/snapshot.go
+++ b/wharfnode/internal/wharfmesh/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfstate"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 )
 
@@ -24,7 +25,7 @@
 
 func (s *snapshots) run(ctx context.Context) {
 	s.seenAt = time.Now()
-	for wait(ctx, s.mesh.SnapshotInterval/10) {
+	for wharftimer.Sleep(ctx, s.mesh.SnapshotInterval/10) {
 		if s.due() {
 			s.write(ctx)
 		}
--- a/wharfnode/internal/wharfmesh/watch.go
+++ b/wharfnode/internal/wharfmesh/watch.go
@@ -6,6 +6,7 @@
 
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
@@ -28,7 +29,7 @@
 
 func (e *expiry) run(ctx context.Context) {
 	pruned := time.Now()
-	for wait(ctx, expiryInterval) {
+	for wharftimer.Sleep(ctx, expiryInterval) {
 		now := time.Now()
 		for _, t := range e.mesh.Registry.Expired(now, e.mesh.TargetTimeout) {
 			if e.mesh.Registry.Remove(t.Address) {
@@ -64,7 +65,7 @@
 
 func (p *pauses) run(ctx context.Context) {
 	last := time.Now()
-	for wait(ctx, pauseTick) {
+	for wharftimer.Sleep(ctx, pauseTick) {
 		now := time.Now()
 		// Both clocks are compared: the one may stand still in a frozen VM
 		// while the other is set forward when it wakes.
--- a/wharfstandin/internal/wharfload/request.go
+++ b/wharfstandin/internal/wharfload/request.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfstandin/internal/wharftargetservice"
 )
@@ -42,7 +43,7 @@
 		pause := u.send(ctx, &r)
 		r.sends++
 		if !r.ok && r.sends <= g.plan.Resends {
-			sleep(ctx, pause)
+			wharftimer.Sleep(ctx, pause)
 		}
 	}
 	if !r.ok && ctx.Err() != nil {
@@ -52,15 +53,6 @@
 	return r
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // send makes one send and returns how long to wait before the next.
 func (u *userRequest) send(ctx context.Context, r *result) time.Duration {
 	response, err := u.generator.client.Do(u.request(ctx, r.sends))
--- a/wharfstandin/internal/wharftargetservice/target.go
+++ b/wharfstandin/internal/wharftargetservice/target.go
@@ -17,6 +17,7 @@
 
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfstandin/internal/wharfhttp"
 )
@@ -225,7 +226,7 @@
 	if time.Since(t.started) < t.cfg.ColdStart {
 		serviceTime *= coldFactor
 	}
-	if !work(ctx, serviceTime) {
+	if !wharftimer.Sleep(ctx, serviceTime) {
 		return
 	}
 	if !t.callOn(w, r) {
@@ -266,18 +267,6 @@
 	}
 }
 
-// work takes the service time. It is false if the caller goes away.
-func work(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *Target) takeEffect(r *http.Request) {
 	key := r.Header.Get(wharfwire.HeaderIdempotencyKey)
 	if key == "" {
