--- a/wharf/wharfconfig/classify.go
+++ b/wharf/wharfconfig/classify.go
@@ -25,6 +25,12 @@
 	Timeout    time.Duration
 	MaxTimeout time.Duration
 	Attempts   int
+	// Targets is how many targets the request may be sent to, zero for no bound
+	// besides Attempts.
+	Targets int
+	// Objective is the time in which an answer has its full value, zero if none
+	// is known.
+	Objective time.Duration
 	// ClassRule, IdempotentRule, TimeoutRule and AttemptsRule name the rule
 	// that decided each value; empty means the default.
 	ClassRule      string
--- a/wharf/wharfhome/table.go
+++ b/wharf/wharfhome/table.go
@@ -269,6 +269,11 @@
 	Ended    []SavedLife    `json:"ended"`
 }
 
+// Empty reports whether nothing was ever owned.
+func (s Saved) Empty() bool {
+	return len(s.Services) == 0 && len(s.Ended) == 0
+}
+
 // Save returns the stored form.
 func (t *Table) Save() Saved {
 	var saved Saved
--- a/wharf/wharfmember/member.go
+++ b/wharf/wharfmember/member.go
@@ -40,6 +40,10 @@
 	}
 }
 
+// LabelInstance is the label that names the life of a target, which changes
+// with each of its starts.
+const LabelInstance = "instance"
+
 // Target is what a target announced to its node.
 type Target struct {
 	Service string            `json:"service"`
--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -54,6 +54,8 @@
 	ReasonAnswerNotKept    Reason = "answer-not-kept"
 	ReasonNoTarget         Reason = "no-target"
 	ReasonUnknownService   Reason = "unknown-service"
+	ReasonUnknownRoute     Reason = "unknown-route"
+	ReasonNotConfigured    Reason = "not-configured"
 	ReasonMissingService   Reason = "missing-service"
 	ReasonMalformedContext Reason = "malformed-context"
 	ReasonMalformedTimeout Reason = "malformed-timeout"
@@ -109,6 +111,7 @@
 	{ReasonMalformedKey, http.StatusBadRequest},
 	{ReasonBodyIncomplete, http.StatusBadRequest},
 	{ReasonUnknownService, http.StatusNotFound},
+	{ReasonUnknownRoute, http.StatusNotFound},
 	{ReasonKeyMismatch, http.StatusUnprocessableEntity},
 	{ReasonDepthExceeded, http.StatusLoopDetected},
 }
--- /dev/null
+++ b/wharf/wharfroute/route_test.go
@@ -0,0 +1,63 @@
+package wharfroute
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestFind(t *testing.T) {
+	table := NewTable(Set{Version: 3, Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "root", Host: "b.example", Prefix: "/"},
+	}})
+	tests := []struct{ name, host, path, want string }{
+		{"exact prefix", "a.example", "/x/", "short"},
+		{"longest wins", "a.example", "/x/y/z", "long"},
+		{"not within a segment", "a.example", "/x/yy", "short"},
+		{"host in other letters", "A.Example", "/x/1", "short"},
+		{"no slash at the end", "a.example", "/x", ""},
+		{"other host", "c.example", "/x/1", ""},
+		{"root", "b.example", "/anything", "root"},
+		{"no path", "b.example", "", ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got := ""
+			if r := table.Find(tc.host, tc.path); r != nil {
+				got = r.Name
+			}
+			is.New(t).Equal(got, tc.want)
+		})
+	}
+	is.New(t).True((*Table)(nil).Find("a.example", "/x/") == nil)
+}
+
+// TestSpreadKeepsWeights deals any number of requests by any weights. Each
+// service has its share at every moment, to within one request a service.
+func TestSpreadKeepsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 5).Draw(t, "weights")
+		r := &Route{}
+		for i, w := range weights {
+			r.Shares = append(r.Shares, Share{Service: string(rune('a' + i)), Weight: w})
+		}
+		total := r.Weight()
+		if total == 0 || len(weights) == 1 {
+			return
+		}
+		var s Spread
+		counts := map[string]int{}
+		for n := 1; n <= 300; n++ {
+			counts[s.Next(r)]++
+			for _, share := range r.Shares {
+				off := float64(counts[share.Service]) - float64(n*share.Weight)/float64(total)
+				if off < -float64(len(weights)) || off > float64(len(weights)) {
+					t.Fatalf("after %d requests %s is off by %f", n, share.Service, off)
+				}
+			}
+		}
+	})
+}
--- a/wharf/wharfstate/envelope.go
+++ b/wharf/wharfstate/envelope.go
@@ -11,6 +11,7 @@
 
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfroute"
 	"ragwortwharf.dev/wharf/wharfstream"
 )
 
@@ -25,6 +26,9 @@
 	Change   *wharfconfig.Change `json:"change,omitempty"`
 	Home     *wharfhome.Record   `json:"home,omitempty"`
 	Snapshot []byte              `json:"snapshot,omitempty"`
+	// Routes is a whole set of routes. It takes the place of all earlier ones,
+	// so records that are missing before it don't matter.
+	Routes *wharfroute.Set `json:"routes,omitempty"`
 }
 
 // Encode returns the stored form of an envelope.
@@ -47,6 +51,7 @@
 	Time   time.Time         `json:"time"`
 	Config wharfconfig.Saved `json:"config"`
 	Homes  wharfhome.Saved   `json:"homes"`
+	Routes *wharfroute.Set   `json:"routes,omitempty"`
 }
 
 // Save returns the compressed stored form of a state.
@@ -54,6 +59,10 @@
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
 	form := saved{Offset: s.Offset(), Time: s.Time(), Config: s.Config().Save(), Homes: s.Homes().Save()}
+	if t := s.Routes(); t != nil {
+		set := t.Set()
+		form.Routes = &set
+	}
 	if err := json.NewEncoder(w).Encode(form); err != nil {
 		return nil, oops.Code("snapshot-encode").Wrap(err)
 	}
@@ -76,10 +85,19 @@
 	if err := json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(&form); err != nil {
 		return nil, oops.Code("snapshot-decode").Wrap(err)
 	}
-	return &State{
+	state := &State{
 		offset: form.Offset,
 		time:   form.Time,
-		config: wharfconfig.Load(form.Config),
-		homes:  wharfhome.Load(form.Homes),
-	}, nil
+	}
+	// A state without changes or homes stays so, see onlyRoutes.
+	if form.Config.Offset > 0 {
+		state.config = wharfconfig.Load(form.Config)
+	}
+	if !form.Homes.Empty() {
+		state.homes = wharfhome.Load(form.Homes)
+	}
+	if form.Routes != nil {
+		state.routes = wharfroute.NewTable(*form.Routes)
+	}
+	return state, nil
 }
--- /dev/null
+++ b/wharf/wharfstate/routes_test.go
@@ -0,0 +1,68 @@
+package wharfstate
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharfroute"
+	"ragwortwharf.dev/wharf/wharfstream"
+)
+
+func routesRecord(t *testing.T, offset, version uint64) wharfstream.Record {
+	t.Helper()
+	data, err := Envelope{Routes: &wharfroute.Set{Version: version}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wharfstream.Record{Offset: offset, Data: data}
+}
+
+// TestRoutesNeverGoBack folds sets of routes in any order of versions, over
+// gaps and repeats.
+func TestRoutesNeverGoBack(t *testing.T) {
+	tests := []struct {
+		name            string
+		offsets         []uint64
+		versions        []uint64
+		offset, version uint64
+	}{
+		{"rising", []uint64{1, 2}, []uint64{3, 8}, 2, 8},
+		{"lower version", []uint64{1, 2}, []uint64{8, 3}, 2, 8},
+		{"gap at the start", []uint64{9}, []uint64{4}, 9, 4},
+		{"gap between", []uint64{1, 7}, []uint64{4, 5}, 7, 5},
+		{"repeat", []uint64{1, 1}, []uint64{4, 9}, 1, 4},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var all []wharfstream.Record
+			for i := range tc.offsets {
+				all = append(all, routesRecord(t, tc.offsets[i], tc.versions[i]))
+			}
+			together := (*State)(nil).WithRecords(all)
+			is.Equal(together.Routes().Version(), tc.version)
+			is.Equal(together.Offset(), tc.offset)
+			var s *State
+			for _, r := range all {
+				s = s.WithRecords([]wharfstream.Record{r})
+			}
+			is.Equal(s.Routes().Version(), tc.version)
+			data, err := s.Save()
+			is.NoErr(err)
+			loaded, err := Load(data)
+			is.NoErr(err)
+			is.Equal(loaded.Routes().Version(), tc.version)
+		})
+	}
+}
+
+// TestRoutesDoNotBridgeChanges keeps a state that has folded other records
+// before a gap, because those missing may matter.
+func TestRoutesDoNotBridgeChanges(t *testing.T) {
+	is := is.New(t)
+	s := &State{offset: 2}
+	s.config = s.config.WithChanges(nil)
+	got := s.WithRecords([]wharfstream.Record{routesRecord(t, 9, 4)})
+	is.Equal(got.Offset(), uint64(2))
+}
--- a/wharf/wharfstate/state.go
+++ b/wharf/wharfstate/state.go
@@ -5,6 +5,7 @@
 
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharf/wharfhome"
+	"ragwortwharf.dev/wharf/wharfroute"
 	"ragwortwharf.dev/wharf/wharfstream"
 )
 
@@ -15,6 +16,7 @@
 	time   time.Time
 	config *wharfconfig.Snapshot
 	homes  *wharfhome.Table
+	routes *wharfroute.Table
 	// snapshotOffset is where the last snapshot record stands.
 	snapshotOffset uint64
 }
@@ -51,6 +53,14 @@
 	return s.homes
 }
 
+// Routes returns the routes, nil if there are none.
+func (s *State) Routes() *wharfroute.Table {
+	if s == nil {
+		return nil
+	}
+	return s.routes
+}
+
 // SnapshotOffset returns the offset of the last snapshot record that was seen
 // in the log, so that a writer knows when the next one is due.
 func (s *State) SnapshotOffset() uint64 {
@@ -62,16 +72,18 @@
 
 // WithRecords folds the records that continue the state. Records at or below
 // its offset are skipped. Where records are missing, a snapshot among those
-// given bridges the gap; without one the state stops before it.
+// given bridges the gap, or a set of routes if the state consists of routes
+// alone; without one the state stops before it.
 func (s *State) WithRecords(records []wharfstream.Record) *State {
 	if len(records) > 0 && records[0].Offset > s.Offset()+1 {
 		s = s.bridge(records)
 	}
 	f := fold{base: s, offset: s.Offset(), time: s.Time(), snapshotOffset: s.SnapshotOffset()}
 	for _, r := range records {
-		if r.Offset > f.offset+1 {
+		if r.Offset > f.offset+1 && !(s.onlyRoutes() && hasRoutes(r)) {
 			break
 		}
+		f.offset = max(f.offset, r.Offset-1)
 		if r.Offset == f.offset+1 {
 			f.add(r)
 		}
@@ -79,6 +91,16 @@
 	return f.state()
 }
 
+// onlyRoutes reports whether nothing but routes was ever folded.
+func (s *State) onlyRoutes() bool {
+	return s.Config() == nil && s.Homes() == nil
+}
+
+func hasRoutes(r wharfstream.Record) bool {
+	e, ok := Decode(r)
+	return ok && e.Routes != nil
+}
+
 // bridge returns the furthest snapshot among the records, or the state itself
 // if there is none beyond it.
 func (s *State) bridge(records []wharfstream.Record) *State {
@@ -104,6 +126,7 @@
 	snapshotOffset uint64
 	changes        []wharfconfig.Positioned
 	homes          []wharfhome.Positioned
+	routes         *wharfroute.Set
 }
 
 func (f *fold) add(r wharfstream.Record) {
@@ -115,18 +138,31 @@
 		f.changes = append(f.changes, wharfconfig.Positioned{Change: *e.Change, Offset: r.Offset, Time: r.Time})
 	case e.Home != nil:
 		f.homes = append(f.homes, wharfhome.Positioned{Record: *e.Home, Offset: r.Offset, Time: r.Time})
+	case e.Routes != nil:
+		f.addRoutes(e.Routes)
 	case e.Snapshot != nil:
 		f.snapshotOffset = r.Offset
 	}
 }
 
+// addRoutes takes a set of routes if its version is higher.
+func (f *fold) addRoutes(set *wharfroute.Set) {
+	version := f.base.Routes().Version()
+	if f.routes != nil {
+		version = f.routes.Version
+	}
+	if set.Version > version {
+		f.routes = set
+	}
+}
+
 func (f *fold) state() *State {
 	if f.base != nil && f.offset == f.base.offset {
 		return f.base
 	}
 	next := &State{
 		offset: f.offset, time: f.time, snapshotOffset: f.snapshotOffset,
-		config: f.base.Config(), homes: f.base.Homes(),
+		config: f.base.Config(), homes: f.base.Homes(), routes: f.base.Routes(),
 	}
 	if len(f.changes) > 0 {
 		next.config = next.config.WithChanges(f.changes)
@@ -134,5 +170,8 @@
 	if len(f.homes) > 0 {
 		next.homes = next.homes.WithRecords(f.homes)
 	}
+	if f.routes != nil {
+		next.routes = wharfroute.NewTable(*f.routes)
+	}
 	return next
 }
--- a/wharfnode/internal/wharfadmin/api.go
+++ b/wharfnode/internal/wharfadmin/api.go
@@ -15,9 +15,9 @@
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfselector"
 	"ragwortwharf.dev/wharfnode/internal/wharfentry"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 )
 
-// callClient is the sending side of a call.
-type callClient = grpc.BidiStreamingClient[wharfwire.CallFrame, wharfwire.AnswerFrame]
-
 // attemptResult is what one attempt showed.
 type attemptResult struct {
 	outcome wharfoutcome.Outcome
@@ -27,6 +22,8 @@
 	answered bool
 	// sent says that the node may have received the attempt.
 	sent bool
+	// arrived says that the target received the attempt, or may have.
+	arrived bool
 	// lost says that the node took the attempt and its answer didn't come.
 	lost         bool
 	retried      bool
@@ -45,23 +42,9 @@
 }
 
 func (e *Entry) exchange(c *call, target wharfrouting.Target, attempts int) attemptResult {
-	if err := e.Peers.Ready(c.ctx, target.NodeAddress); err != nil {
-		if c.ctx.Err() != nil {
-			return notSent(e.cause(c), wharfrouting.Withdrawn)
-		}
-		return notSent(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
-	}
-	client, err := e.Peers.Client(target.NodeAddress)
-	if err != nil {
-		return notSent(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
-	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	stream, err := client.Call(ctx)
-	if err != nil {
-		return notSent(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
-	}
-	x := &transfer{entry: e, call: c, target: target, stream: stream, head: e.head(c, target, attempts)}
+	x := &transfer{entry: e, call: c, target: target, stream: e.Hop.Open(ctx, target.NodeAddress), head: e.head(c, target, attempts)}
 	if err := x.begin(); err != nil {
 		return x.broken(err)
 	}
@@ -88,7 +71,8 @@
 		Service:       c.service,
 		Target:        target.Address,
 		Method:        c.r.Method,
-		Uri:           c.r.URL.RequestURI(),
+		Uri:           c.r.RequestURI,
+		Host:          c.r.Host,
 		Headers:       wharfwire.PackHeaders(c.r.Header),
 		Class:         c.policy.Class.Name,
 		Rank:          uint32(c.policy.Class.Rank),
@@ -112,6 +96,7 @@
 	head := frame.GetHead()
 	result := attemptResult{
 		sent:    true,
+		arrived: head.GetArrived(),
 		retried: head.GetRetried(),
 		report:  reportOf(head),
 		routing: wharfrouting.Refused,
@@ -150,16 +135,20 @@
 // broken is the result of an attempt whose stream failed. What became of the
 // request isn't known, unless the node can be asked.
 func (x *transfer) broken(err error) attemptResult {
-	result := attemptResult{sent: true, lost: true, routing: wharfrouting.Unreachable}
+	result := attemptResult{sent: true, arrived: true, lost: true, routing: wharfrouting.Unreachable}
 	c := x.call
-	if c.ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
+	if !x.stream.Sent() {
+		return x.neverSent()
+	}
+	if c.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		result.lost = false
 		result.routing = wharfrouting.Withdrawn
 		result.outcome = wharfoutcome.Uncertain(x.entry.cause(c))
 		return result
 	}
-	if s := status.Convert(err); s.Code() == codes.Aborted {
-		return brokenOff(wharfoutcome.Reason(s.Message()))
+	var broken *wharfhop.BrokenError
+	if errors.As(err, &broken) {
+		return brokenOff(broken.Reason)
 	}
 	result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
 	if !c.policy.Idempotent && c.key == "" {
@@ -168,10 +157,18 @@
 	return result
 }
 
+// neverSent is the result of an attempt that found no connection.
+func (x *transfer) neverSent() attemptResult {
+	if x.call.ctx.Err() != nil {
+		return notSent(x.entry.cause(x.call), wharfrouting.Withdrawn)
+	}
+	return notSent(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
+}
+
 // brokenOff is the result of an attempt whose answer the target's node ended
 // early, for a reason.
 func brokenOff(reason wharfoutcome.Reason) attemptResult {
-	result := attemptResult{sent: true, lost: true, routing: wharfrouting.Withdrawn, outcome: wharfoutcome.Uncertain(reason)}
+	result := attemptResult{sent: true, arrived: true, lost: true, routing: wharfrouting.Withdrawn, outcome: wharfoutcome.Uncertain(reason)}
 	if reason == wharfoutcome.ReasonTargetCrashed {
 		result.routing = wharfrouting.TargetFailed
 	}
--- a/wharfnode/internal/wharfentry/classify.go
+++ b/wharfnode/internal/wharfentry/classify.go
@@ -11,9 +11,26 @@
 
 // classify decides how the request is treated.
 func (e *Entry) classify(c *call) (wharfoutcome.Outcome, bool) {
+	if c.service == "" {
+		if reason := e.route(c); reason != wharfoutcome.ReasonNone {
+			return wharfoutcome.Refuse(reason).WithRetryAfter(unconfiguredRetryAfter), false
+		}
+	} else if !e.classifyService(c) {
+		return wharfoutcome.Refuse(wharfoutcome.ReasonUnknownService), false
+	}
+	c.priority = wharfadmission.PriorityOf(c.policy.Class.Rank, xxhash.Sum64String(c.requestID))
+	if c.grant == nil {
+		c.grant = &rootGrant{grant: wharfbudget.NewGrant(c.policy.Attempts)}
+	}
+	return wharfoutcome.Outcome{}, true
+}
+
+// classifyService decides by the labels of a service that the caller named. It
+// is false for a service that nobody knows.
+func (e *Entry) classifyService(c *call) bool {
 	config := e.View.Config()
 	if !config.HasService(c.service) && !e.routes.known(e.View, c.service) {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonUnknownService), false
+		return false
 	}
 	c.policy = config.Classify(wharfconfig.RequestAttributes{
 		Service: c.service, Method: c.r.Method, Path: c.r.URL.Path, Caller: c.caller,
@@ -23,9 +40,5 @@
 		// that the request gets the same verdict at each hop.
 		c.policy.Class = config.Class(c.served.Class)
 	}
-	c.priority = wharfadmission.PriorityOf(c.policy.Class.Rank, xxhash.Sum64String(c.requestID))
-	if c.grant == nil {
-		c.grant = &rootGrant{grant: wharfbudget.NewGrant(c.policy.Attempts)}
-	}
-	return wharfoutcome.Outcome{}, true
+	return true
 }
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -13,10 +13,11 @@
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
-	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
-	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
+	"ragwortwharf.dev/wharfnode/wharfdialect"
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 // consulter asks a node about a key, which closes it there.
@@ -27,15 +28,17 @@
 // Entry is the caller's side of a node.
 type Entry struct {
 	View       *wharfview.View
-	Peers      *wharfpeers.Pool
+	Hop        *wharfhop.Client
 	Ledger     *wharfbudget.Ledger
 	Quarantine *wharfquarantine.List
 	Consulter  consulter
+	Dialect    wharfdialect.Callers
 	Variant    wharfsettings.Variant
 	Log        wharfevents.Log
 	Metrics    wharfevents.Metrics
 
 	routes   routes
+	spreads  spreads
 	ratio    wharfbudget.RetryRatio
 	harmless wharfquarantine.Harmless
 	calls    atomic.Int64
@@ -49,6 +52,7 @@
 	started  time.Time
 	deadline time.Time
 
+	said      wharfdialect.Request
 	service   string
 	caller    string
 	key       string
@@ -113,7 +117,7 @@
 			wharfevents.Field{Name: "service", Value: c.service})
 	}
 	e.Metrics.Call(c.policy.Class.Name, o, time.Since(c.started))
-	writeOutcome(c.w, o)
+	e.Dialect.Refuse(c.w, o)
 }
 
 // Calls returns the number of requests in flight.
--- a/wharfnode/internal/wharfentry/identify.go
+++ b/wharfnode/internal/wharfentry/identify.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/hex"
-	"net"
-	"net/http"
 
 	"github.com/google/uuid"
 
@@ -12,32 +10,23 @@
 	"ragwortwharf.dev/wharf/wharfwire"
 )
 
-const (
-	// maxKeyLength bounds the key of a caller, in bytes.
-	maxKeyLength = 256
-	// maxNameLength bounds the names of services and callers, in bytes.
-	maxNameLength = 256
-)
-
 // identify finds out which service is called, by whom, and on behalf of which
 // user request.
 func (e *Entry) identify(c *call) (wharfoutcome.Outcome, bool) {
-	c.service = serviceOf(c.r)
-	c.caller = c.r.Header.Get(wharfwire.HeaderCaller)
-	c.key = c.r.Header.Get(wharfwire.HeaderIdempotencyKey)
-	if c.service == "" || len(c.service) > maxNameLength {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonMissingService), false
+	said, reason := e.Dialect.Identify(c.r)
+	c.said, c.service, c.caller, c.key = said, said.Service, said.Caller, said.Key
+	if reason != wharfoutcome.ReasonNone {
+		return wharfoutcome.Refuse(reason), false
 	}
-	if len(c.key) > maxKeyLength || len(c.caller) > maxNameLength {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonMalformedKey), false
+	if said.Context != "" {
+		return e.continueRequest(c, said.Context)
 	}
-	text := c.r.Header.Get(wharfwire.HeaderContext)
-	if text == "" {
+	c.requestID = said.ID
+	if c.requestID == "" {
 		id := uuid.New()
 		c.requestID = hex.EncodeToString(id[:])
-		return wharfoutcome.Outcome{}, true
 	}
-	return e.continueRequest(c, text)
+	return wharfoutcome.Outcome{}, true
 }
 
 // continueRequest ties a call of the service on this VM to the call that the
@@ -60,18 +49,3 @@
 	c.grant = &ledgerGrant{ledger: e.Ledger, id: id}
 	return wharfoutcome.Outcome{}, true
 }
-
-// serviceOf returns the service that a request names: by header, else by host.
-func serviceOf(r *http.Request) string {
-	if name := r.Header.Get(wharfwire.HeaderService); name != "" {
-		return name
-	}
-	host := r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	if net.ParseIP(host) != nil || host == "localhost" {
-		return ""
-	}
-	return host
-}
--- a/wharfnode/internal/wharfentry/respond.go
+++ b/wharfnode/internal/wharfentry/respond.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,7 +10,8 @@
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // wholeBytes is the size up to which an answer is held back until it is known
@@ -21,20 +21,6 @@
 
 var errSumMismatch = errors.New("length or checksum of the answer differ")
 
-// writeOutcome answers a request that has no answer of a target.
-func writeOutcome(w http.ResponseWriter, o wharfoutcome.Outcome) {
-	h := w.Header()
-	h.Set(wharfwire.HeaderOutcome, o.Kind.String())
-	h.Set(wharfwire.HeaderReason, string(o.Reason))
-	if o.RetryAfter > 0 {
-		h.Set(wharfwire.HeaderRetryAfter, o.RetryAfterSeconds())
-		h.Set(wharfwire.HeaderRetryAfterMs, strconv.FormatInt(o.RetryAfter.Milliseconds(), 10))
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(o.HTTPStatus())
-	_, _ = io.WriteString(w, o.Kind.String()+": "+string(o.Reason)+"\n")
-}
-
 // answer takes the body of an answer and passes it on.
 func (x *transfer) answer(frame *wharfwire.AnswerFrame) attemptResult {
 	head := frame.GetHead()
@@ -70,7 +56,7 @@
 // answerBody collects the body of an answer from its frames.
 type answerBody struct {
 	bytes.Buffer
-	stream callClient
+	stream wharfhop.Exchange
 	sum    wharfwire.BodySum
 }
 
@@ -131,7 +117,7 @@
 func (x *transfer) writeHead(head *wharfwire.AnswerHead, length int64) {
 	h := x.call.w.Header()
 	wharfwire.UnpackHeaders(h, head.GetHeaders())
-	h.Set(wharfwire.HeaderOutcome, wharfoutcome.Completed.String())
+	x.entry.Dialect.Complete(h)
 	if length >= 0 && bodyAllowed(x.call.r.Method, int(head.GetStatus())) {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -26,7 +26,9 @@
 	mayHaveCrashed []string
 	// tries counts the attempts that were sent.
 	tries int
-	last  attemptResult
+	// arrivals counts those that a target received, or may have.
+	arrivals int
+	last     attemptResult
 	// uncertain is the outcome of the last attempt that may have run.
 	uncertain  wharfoutcome.Outcome
 	mayHaveRun bool
@@ -90,6 +92,9 @@
 	s.tries++
 	e.Metrics.Attempt(s.tries > 1)
 	s.last = e.attempt(c, target, down)
+	if s.last.arrived || s.last.answered {
+		s.arrivals++
+	}
 	s.observe(target, down)
 	if s.last.answered {
 		return false
@@ -161,7 +166,7 @@
 		safe := c.policy.Idempotent || s.last.outcome.Kind == wharfoutcome.NotRun
 		return safe && s.tries < plainTries && !c.body.restSent
 	}
-	if request.Only != "" && s.tries >= homeTries {
+	if request.Only != "" && s.tries >= homeTries || c.policy.Targets > 0 && s.arrivals >= c.policy.Targets {
 		return false
 	}
 	if request.Only == "" {
--- a/wharfnode/internal/wharfentry/transfer.go
+++ b/wharfnode/internal/wharfentry/transfer.go
@@ -8,7 +8,8 @@
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // transfer is one attempt under way.
@@ -16,7 +17,7 @@
 	entry  *Entry
 	call   *call
 	target wharfrouting.Target
-	stream callClient
+	stream wharfhop.Exchange
 	head   *wharfwire.CallHead
 	sum    wharfwire.BodySum
 	// upload ends when the rest of a long body was sent.
--- a/wharfnode/internal/wharfmesh/audit.go
+++ b/wharfnode/internal/wharfmesh/audit.go
@@ -8,7 +8,7 @@
 
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharftimer"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -11,8 +11,8 @@
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
--- a/wharfnode/internal/wharfmesh/follower.go
+++ b/wharfnode/internal/wharfmesh/follower.go
@@ -14,14 +14,10 @@
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharftimer"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
-	// readersPerDomain is how many nodes of a failure domain read the log.
-	readersPerDomain = 2
-	// pollWait is how long a read waits for records.
-	pollWait = time.Second
 	// readLimit is the number of records in one read.
 	readLimit = 512
 	// retryWait is the pause after a read that failed.
@@ -85,24 +81,25 @@
 	v := f.mesh.View
 	if version := v.Version(); version != f.version {
 		f.version = version
-		f.reader = slices.Contains(readersOf(v.Place().FailureDomain, v.Members), v.Node())
+		f.reader = slices.Contains(f.mesh.readers(), v.Node())
 	}
 	return f.reader
 }
 
-// readersOf returns the nodes that read the log for a failure domain.
-func readersOf(domain string, members func(func(*wharfmember.Table))) []string {
+// readers returns the nodes that read the log for this failure domain.
+func (m *Mesh) readers() []string {
 	var first []string
-	members(func(t *wharfmember.Table) {
+	domain := m.View.Place().FailureDomain
+	m.View.Members(func(t *wharfmember.Table) {
 		for _, node := range t.InDomain(domain) {
-			m, _ := t.Get(node)
-			if m.State != wharfmember.Alive {
+			member, _ := t.Get(node)
+			if member.State != wharfmember.Alive {
 				continue
 			}
 			i, _ := slices.BinarySearchFunc(first, node, compareReaders)
-			if i < readersPerDomain {
+			if i < m.Readers {
 				first = slices.Insert(first, i, node)
-				first = first[:min(len(first), readersPerDomain)]
+				first = first[:min(len(first), m.Readers)]
 			}
 		}
 	})
@@ -117,7 +114,7 @@
 	v := f.mesh.View
 	asked := time.Now()
 	from := max(v.State().Offset()+1, f.from)
-	batch, err := f.mesh.Platform.Read(ctx, wharfstate.Stream, from, readLimit, pollWait)
+	batch, err := f.mesh.Platform.Read(ctx, wharfstate.Stream, from, readLimit, f.mesh.PollWait)
 	if errors.Is(err, wharfstream.ErrExpired) {
 		f.mesh.Log.Emit(wharfevents.RecordsExpired,
 			wharfevents.Field{Name: "from", Value: from},
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -13,10 +13,10 @@
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfstream"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // logClient is the platform's log as the mesh uses it.
@@ -25,6 +25,13 @@
 	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (wharfstream.Batch, error)
 }
 
+// directory is where nodes find each other.
+type directory interface {
+	Seeds(ctx context.Context) ([]string, error)
+	Enter(ctx context.Context, self wharfmember.Member) error
+	Remove(ctx context.Context, ended wharfmember.Member) error
+}
+
 const (
 	// workers bounds the calls to other nodes that run at a time.
 	workers = 16
@@ -34,13 +41,19 @@
 
 // Mesh ties a node to the others and to the platform's log.
 type Mesh struct {
-	View             *wharfview.View
-	Peers            *wharfpeers.Pool
-	Platform         logClient
-	Registry         *wharftarget.Registry
-	Quarantine       *wharfquarantine.List
-	Keys             *wharfhome.Keys
-	Seeds            []string
+	View       *wharfview.View
+	Peers      *wharfpeers.Pool
+	Platform   logClient
+	Registry   *wharftarget.Registry
+	Quarantine *wharfquarantine.List
+	Keys       *wharfhome.Keys
+	Directory  directory
+	// KeepsKeys says that this node is a home of keys that callers chose.
+	KeepsKeys bool
+	// Readers is how many nodes of a failure domain read the log, and PollWait
+	// how long a read waits for records.
+	Readers          int
+	PollWait         time.Duration
 	SnapshotInterval time.Duration
 	TargetTimeout    time.Duration
 	Log              wharfevents.Log
@@ -71,12 +84,14 @@
 	loops := []func(context.Context){
 		(&rounds{mesh: m, rng: newRand()}).run,
 		(&follower{mesh: m, rng: newRand()}).run,
-		(&ownership{mesh: m}).run,
-		(&snapshots{mesh: m}).run,
+		(&registration{mesh: m, rng: newRand()}).run,
 		(&expiry{mesh: m}).run,
 		(&pauses{mesh: m}).run,
 		m.audit.writer(m).run,
 	}
+	if m.KeepsKeys {
+		loops = append(loops, (&ownership{mesh: m}).run, (&snapshots{mesh: m}).run)
+	}
 	for _, loop := range loops {
 		group.Go(func() { loop(ctx) })
 	}
--- a/wharfnode/internal/wharfmesh/ownership.go
+++ b/wharfnode/internal/wharfmesh/ownership.go
@@ -12,8 +12,8 @@
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -9,7 +9,7 @@
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
@@ -67,7 +67,11 @@
 func (r *rounds) join(ctx context.Context) {
 	self := r.mesh.View.SelfMember()
 	r.mesh.note([]wharfmember.Member{self})
-	for _, seed := range r.mesh.Seeds {
+	seeds, err := r.mesh.Directory.Seeds(ctx)
+	if err != nil {
+		r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
+	}
+	for _, seed := range seeds {
 		if seed == self.Address {
 			continue
 		}
--- a/wharfnode/internal/wharfmesh/snapshot.go
+++ b/wharfnode/internal/wharfmesh/snapshot.go
@@ -7,7 +7,7 @@
 
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharftimer"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // rankDelay is the share of the interval by which the second reader waits
@@ -40,7 +40,7 @@
 	if v.State().Offset() <= s.seen {
 		return false
 	}
-	rank := slices.Index(readersOf(v.Place().FailureDomain, v.Members), v.Node())
+	rank := slices.Index(s.mesh.readers(), v.Node())
 	if rank < 0 {
 		return false
 	}
--- a/wharfnode/internal/wharfmesh/watch.go
+++ b/wharfnode/internal/wharfmesh/watch.go
@@ -8,8 +8,8 @@
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -5,6 +5,7 @@
 
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfconfig"
+	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfwire"
@@ -101,11 +102,32 @@
 	t.gate.SetReserves(reserves)
 }
 
-// took notes that a call is being dispatched.
-func (t *target) took(c *call) {
+// took notes that a call is being dispatched. It is false if the target has said
+// in the meantime that it leaves.
+func (t *target) took(c *call) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.leaving || t.info.Leaving {
+		return false
+	}
 	t.inFlight[c.id] = flight{c.fingerprint, t.crashes}
+	return true
+}
+
+// refuseWaiting sends the waiting calls of a leaving target elsewhere; the
+// caller holds the lock.
+func (t *target) refuseWaiting() {
+	for id := range t.waiters {
+		t.gate.Withdraw(id)
+		t.tell(id, admission{outcome: wharfoutcome.Refuse(wharfoutcome.ReasonLeaving)})
+	}
+}
+
+// instance returns the life of the target that announced itself last.
+func (t *target) instance() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.info.Labels[wharfmember.LabelInstance]
 }
 
 // ended frees the slot of a call that was admitted.
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -6,23 +6,20 @@
 	"io"
 	"net/http"
 
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 )
 
 // errBodyShort says that a body ended before its announced length.
 var errBodyShort = errors.New("body ended early")
 
 // answerBroken ends a call whose answer could not be sent whole. The sender
-// sees the call fail, takes nothing for complete, and reads the reason from the
-// message of the status.
+// sees the call fail with the reason and takes nothing for complete.
 func answerBroken(reason wharfoutcome.Reason) error {
-	return status.Error(codes.Aborted, string(reason))
+	return &wharfhop.BrokenError{Reason: reason}
 }
 
 // sendOutcome answers a call that has no answer of the target.
@@ -44,6 +41,7 @@
 		Reason:       string(o.Reason),
 		RetryAfterMs: o.RetryAfter.Milliseconds(),
 		Retried:      c.below.Retried,
+		Arrived:      c.arrived,
 	}
 	if c.target != nil {
 		head.Load = c.target.load(c.below.Closed)
--- a/wharfnode/internal/wharftarget/body.go
+++ b/wharfnode/internal/wharftarget/body.go
@@ -6,11 +6,12 @@
 
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 )
 
 // callBody reads the body of a call from its frames.
 type callBody struct {
-	stream callStream
+	stream wharfhop.Stream
 	rest   []byte
 	sum    wharfwire.BodySum
 	ended  bool
@@ -21,7 +22,7 @@
 }
 
 // newCallBody returns the body of a call that began with a frame.
-func newCallBody(stream callStream, first *wharfwire.CallFrame) *callBody {
+func newCallBody(stream wharfhop.Stream, first *wharfwire.CallFrame) *callBody {
 	b := &callBody{stream: stream}
 	b.err = b.take(first)
 	return b
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -9,7 +9,7 @@
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
@@ -26,10 +26,11 @@
 // failed decides what a dispatch without an answer means.
 func (s *Server) failed(c *call, ctx context.Context, conn connection, err error) wharfoutcome.Outcome {
 	excuse := c.excuse(ctx)
-	if !conn.got {
+	if !conn.got() {
 		// There never was a connection, so nothing was sent.
 		return wharfoutcome.Refuse(cmp.Or(excuse, wharfoutcome.ReasonUnreachable))
 	}
+	c.arrived = true
 	if excuse != wharfoutcome.ReasonNone {
 		return wharfoutcome.Uncertain(excuse)
 	}
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -5,7 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
+	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/wharfdialect"
 )
 
 const (
@@ -43,17 +45,26 @@
 
 // connection is what is known of the connection that a request went over.
 type connection struct {
-	got  bool
+	net.Conn
 	idle time.Duration
 }
 
+// got reports whether there was a connection, so that the request may have been
+// sent.
+func (c *connection) got() bool {
+	return c.Conn != nil
+}
+
 // dispatch sends an admitted call to the target and its answer to the sender.
 func (s *Server) dispatch(c *call) (wharfoutcome.Outcome, bool) {
-	c.target.took(c)
 	result := wharfadmission.Withdrawn
 	started := time.Now()
 	// The time that the target waited for calls of its own is not its latency.
 	defer func() { c.target.ended(c, time.Since(started)-c.below.Below, result) }()
+	if !c.target.took(c) {
+		s.abandonKey(c)
+		return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving), false
+	}
 	if o, ok := s.mayDispatch(c); !ok {
 		return o, false
 	}
@@ -77,11 +88,21 @@
 		return o, false
 	}
 	defer func() { _ = response.Body.Close() }()
-	if o, refused := refusedByTarget(response); refused {
+	c.arrived = true
+	switch v := s.Dialect.Judge(response, c.told); v.Kind {
+	case wharfoutcome.NotRun:
 		s.settle(c)
 		if !c.below.RefusedBelow {
 			result = wharfadmission.Shed
 		}
+		o := wharfoutcome.Refuse(v.Reason).WithRetryAfter(v.RetryAfter)
+		s.finishKey(c, o, nil)
+		return o, false
+	case wharfoutcome.Unknown:
+		// What else comes on this connection can't be told apart either.
+		_ = conn.Close()
+		s.settle(c)
+		o := wharfoutcome.Uncertain(v.Reason)
 		s.finishKey(c, o, nil)
 		return o, false
 	}
@@ -101,14 +122,12 @@
 // transport never sends it twice, whatever its headers say.
 func (s *Server) request(c *call, ctx context.Context, conn *connection) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn.got = true
-		conn.idle = info.IdleTime
+		conn.Conn, conn.idle = info.Conn, info.IdleTime
 	}}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.head.GetMethod(), "http://"+c.target.info.Address+c.head.GetUri(), c.body)
-	if err != nil {
-		// The sender's node parsed the same method and address before.
-		r = (&http.Request{Method: c.head.GetMethod(), Header: http.Header{}}).WithContext(ctx)
-	}
+	r := (&http.Request{
+		Method: c.head.GetMethod(), URL: urlOf(c.target.info.Address, c.head.GetUri()),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Body: c.body,
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	r.ContentLength = -1
 	if c.head.GetContentLength() > 0 {
 		r.ContentLength = c.head.GetContentLength()
@@ -117,32 +136,33 @@
 	if _, set := r.Header["User-Agent"]; !set {
 		r.Header.Set("User-Agent", "")
 	}
-	r.Header.Set(wharfwire.HeaderContext, wharfwire.Context{
+	c.told = wharfdialect.Dispatch{
 		RequestID: c.head.GetRequestId(),
-		Grant:     uint64(c.grant),
-		Depth:     int(c.head.GetDepth()) + 1,
-		Attempts:  int(c.head.GetAttempts()),
-	}.String())
-	r.Header.Set(wharfwire.HeaderTimeout, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
+		Host:      c.head.GetHost(),
+		Caller:    c.head.GetCaller(),
+		Instance:  c.target.instance(),
+		Left:      time.Until(c.deadline),
+		Context: wharfwire.Context{
+			RequestID: c.head.GetRequestId(),
+			Grant:     uint64(c.grant),
+			Depth:     int(c.head.GetDepth()) + 1,
+			Attempts:  int(c.head.GetAttempts()),
+		}.String(),
+	}
+	s.Dialect.Prepare(r, c.told)
 	return r
 }
 
-// refusedByTarget reports whether the target itself says that it did not run
-// the request.
-func refusedByTarget(response *http.Response) (wharfoutcome.Outcome, bool) {
-	if response.Header.Get(wharfwire.HeaderOutcome) != wharfoutcome.NotRun.String() {
-		return wharfoutcome.Outcome{}, false
-	}
-	reason := wharfoutcome.Reason(response.Header.Get(wharfwire.HeaderReason))
-	if reason == wharfoutcome.ReasonNone {
-		reason = wharfoutcome.ReasonOverload
-	}
-	o := wharfoutcome.Refuse(reason)
-	seconds, err := strconv.Atoi(response.Header.Get(wharfwire.HeaderRetryAfter))
-	if err == nil && seconds > 0 {
-		o = o.WithRetryAfter(time.Duration(seconds) * time.Second)
+// urlOf returns the URL of a request to a target. The path goes on as the caller
+// wrote it, without being decoded and encoded again.
+func urlOf(address, uri string) *url.URL {
+	u := &url.URL{Scheme: "http", Host: address}
+	if strings.HasPrefix(uri, "//") {
+		u.Path, u.RawQuery, _ = strings.Cut(uri, "?")
+		return u
 	}
-	return o, true
+	u.Opaque = uri
+	return u
 }
 
 // settle closes the grant of the call and keeps what it says of those below.
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -6,9 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"github.com/samber/oops"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfbudget"
@@ -17,13 +15,12 @@
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
+	"ragwortwharf.dev/wharfnode/wharfdialect"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
-// callStream is the server side of a call.
-type callStream = grpc.BidiStreamingServer[wharfwire.CallFrame, wharfwire.AnswerFrame]
-
 // consulter asks an earlier home about a key, which closes it there.
 type consulter interface {
 	Consult(ctx context.Context, owner wharfhome.Owner, id wharfhome.KeyID) (wharfhome.Entry, error)
@@ -49,6 +46,7 @@
 	Consulter  consulter
 	Spreader   spreader
 	Auditor    auditor
+	Dialect    wharfdialect.Targets
 	Log        wharfevents.Log
 	Metrics    wharfevents.Metrics
 
@@ -64,7 +62,7 @@
 	id          uint64
 	ctx         context.Context
 	head        *wharfwire.CallHead
-	stream      callStream
+	stream      wharfhop.Stream
 	body        *callBody
 	config      *wharfconfig.Snapshot
 	deadline    time.Time
@@ -77,6 +75,10 @@
 	grant wharfbudget.GrantID
 	// dispatched says that the call has a grant in the ledger.
 	dispatched bool
+	// told is what the target was told with the request.
+	told wharfdialect.Dispatch
+	// arrived says that the target received the request, or may have.
+	arrived bool
 	// below is what the calls that the target made for this one have met.
 	below wharfbudget.Entry
 	// replay is the kept answer of an earlier send.
@@ -100,14 +102,14 @@
 }
 
 // Call serves one call of another node.
-func (s *Server) Call(stream callStream) error {
+func (s *Server) Call(stream wharfhop.Stream) error {
 	frame, err := stream.Recv()
 	if err != nil {
 		return err
 	}
 	head := frame.GetHead()
 	if head == nil {
-		return status.Error(codes.InvalidArgument, "a call begins with its head")
+		return oops.Code("call-without-head").Errorf("a call begins with its head")
 	}
 	s.calls.Add(1)
 	defer s.calls.Add(-1)
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -8,7 +8,7 @@
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
-	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 // target is one target of this node. Each has its own lock.
@@ -106,6 +106,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = true
+	t.refuseWaiting()
 	return true
 }
 
--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -8,9 +8,9 @@
 	"syscall"
 
 	"ragwortwharf.dev/wharf/wharfcli"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
-	"ragwortwharf.dev/wharfnode/internal/wharfserver"
-	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfserver"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 // softMemoryLimit makes the garbage collector work harder before the process
--- /dev/null
+++ b/wharfnode/wharfdialect/dialect.go
@@ -0,0 +1,72 @@
+package wharfdialect
+
+import (
+	"net/http"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+// Request is what a caller says of its request.
+type Request struct {
+	// ID is the caller's own id of the request, empty if it gave none.
+	ID string
+	// Service is the service that is called. It is empty if the routes decide.
+	Service string
+	// Caller is the service or client that calls.
+	Caller string
+	// Key is the caller's idempotency key.
+	Key string
+	// Context ties the request to the one it is made for.
+	Context string
+	// Timeout is how long the caller waits, zero if it doesn't say.
+	Timeout time.Duration
+}
+
+// Callers is how callers are spoken with.
+type Callers interface {
+	// Identify reads what a request says of itself. A reason other than
+	// ReasonNone refuses the request.
+	Identify(r *http.Request) (Request, wharfoutcome.Reason)
+	// Refuse writes an outcome that has no answer of a target.
+	Refuse(w http.ResponseWriter, o wharfoutcome.Outcome)
+	// Complete marks the headers of a target's answer.
+	Complete(h http.Header)
+}
+
+// Dispatch is what a target is told with a request.
+type Dispatch struct {
+	RequestID string
+	Host      string
+	Caller    string
+	// Instance is the life of the target that the request is meant for, empty
+	// if the target told none.
+	Instance string
+	Context  string
+	// Left is the time in which an answer is still of use.
+	Left time.Duration
+}
+
+// Verdict is what an answer of a target means.
+type Verdict struct {
+	// Kind is Completed for an answer to the request, NotRun if the target says
+	// that it did not run it, and Unknown if the answer belongs to another
+	// request or isn't the target's.
+	Kind       wharfoutcome.Kind
+	Reason     wharfoutcome.Reason
+	RetryAfter time.Duration
+}
+
+// Targets is how targets are spoken with.
+type Targets interface {
+	// Prepare completes a request to a target.
+	Prepare(r *http.Request, d Dispatch)
+	// Judge decides what an answer means.
+	Judge(answer *http.Response, d Dispatch) Verdict
+}
+
+// Dialect is how callers and targets are spoken with.
+type Dialect interface {
+	Callers
+	Targets
+}
--- a/wharfnode/internal/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -61,6 +61,8 @@
 	KeysHandedOver   = Event{5006, "keys-handed-over", log.InfoLevel, "records of keys handed over"}
 	HandOverFailed   = Event{5007, "hand-over-failed", log.ErrorLevel, "records of keys couldn't be handed over"}
 	IncarnationMoved = Event{5008, "incarnation-raised", log.WarnLevel, "incarnation raised above an earlier life"}
+
+	DirectoryUnavailable = Event{5009, "directory-unavailable", log.WarnLevel, "directory of nodes can't be read or written"}
 )
 
 // Catalogue lists all events.
@@ -71,6 +73,7 @@
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable,
 	MemberDown, MemberJoined, Refuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationMoved,
+	DirectoryUnavailable,
 }
 
 // Log writes numbered events. The zero Log writes nothing.
--- a/wharfnode/internal/wharfserver/harness_test.go
+++ b/wharfnode/wharfserver/harness_test.go
@@ -20,9 +20,9 @@
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
-	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
 	"ragwortwharf.dev/wharfnode/internal/wharftest"
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 // ports are those of this package.
--- a/wharfnode/internal/wharfserver/late_test.go
+++ b/wharfnode/wharfserver/late_test.go
@@ -2,54 +2,50 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
-	"google.golang.org/grpc"
 
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharftest"
 )
 
 // mixedUpNode sends the answer of another attempt before the right one.
-type mixedUpNode struct {
-	wharfwire.UnimplementedNodeServer
-}
+type mixedUpNode struct{}
 
-func (mixedUpNode) Call(stream grpc.BidiStreamingServer[wharfwire.CallFrame, wharfwire.AnswerFrame]) error {
+func (mixedUpNode) Call(stream wharfhop.Stream) error {
 	frame, err := stream.Recv()
 	if err != nil {
 		return err
 	}
 	id := frame.GetHead().GetAttemptId()
-	for _, answer := range []struct {
-		id   uint64
-		body string
-	}{{id + 1, "not yours"}, {id, "yours"}} {
-		var sum wharfwire.BodySum
-		sum.Add([]byte(answer.body))
-		err := stream.Send(&wharfwire.AnswerFrame{
-			Head:  &wharfwire.AnswerHead{AttemptId: answer.id, Outcome: uint32(wharfoutcome.Completed), Status: 200},
-			Chunk: []byte(answer.body),
-			End:   &wharfwire.AnswerEnd{Body: sum.End()},
-		})
-		if err != nil {
-			return err
+	answer := func(id uint64, body string) *wharfwire.AnswerFrame {
+		return &wharfwire.AnswerFrame{
+			Head:  &wharfwire.AnswerHead{AttemptId: id, Outcome: uint32(wharfoutcome.Completed), Status: 200},
+			Chunk: []byte(body),
 		}
 	}
-	return nil
+	if err := stream.Send(answer(id+1, "not yours")); err != nil {
+		return err
+	}
+	right := answer(id, "yours")
+	var sum wharfwire.BodySum
+	sum.Add(right.GetChunk())
+	right.End = &wharfwire.AnswerEnd{Body: sum.End()}
+	return stream.Send(right)
 }
 
 func TestAnswerOfAnotherAttemptIsThrownAway(t *testing.T) {
 	is := is.New(t)
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := grpc.NewServer()
-	wharfwire.RegisterNodeServer(server, mixedUpNode{})
+	server := &http.Server{Handler: wharfhop.Handler{Receiver: mixedUpNode{}}}
 	go func() { _ = server.Serve(l) }()
-	t.Cleanup(server.Stop)
+	t.Cleanup(func() { _ = server.Close() })
 	n := newMesh(t).start("domain-a")
 	n.view.Merge([]wharfmember.Member{{
 		Node: "domain-a/mixed-up", Incarnation: 1, Version: 1, Address: l.Addr().String(), FailureDomain: "domain-a", Region: "r",
--- a/wharfnode/internal/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -13,18 +13,19 @@
 
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfhome"
-	"ragwortwharf.dev/wharf/wharflog"
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfadmin"
 	"ragwortwharf.dev/wharfnode/internal/wharfentry"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharfmesh"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
-	"ragwortwharf.dev/wharfnode/internal/wharfsettings"
+	"ragwortwharf.dev/wharfnode/internal/wharfsocket"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 const (
@@ -53,6 +54,10 @@
 	admin    *http.Server
 	grpc     *grpc.Server
 	metrics  wharfevents.Metrics
+	parts    Parts
+	// hop carries calls to other nodes, and peer serves what they send.
+	hop  *wharfhop.Client
+	peer *http.Server
 }
 
 // nodeService joins the parts that answer other nodes.
@@ -67,11 +72,6 @@
 	return s.mesh.Exchange(ctx, r)
 }
 
-// Call serves one call of another node.
-func (s nodeService) Call(stream grpc.BidiStreamingServer[wharfwire.CallFrame, wharfwire.AnswerFrame]) error {
-	return s.Server.Call(stream)
-}
-
 // Consult answers a question about a key and closes it here.
 func (s nodeService) Consult(ctx context.Context, r *wharfwire.ConsultRequest) (*wharfwire.ConsultResponse, error) {
 	return s.Server.Consult(ctx, r)
@@ -89,6 +89,12 @@
 
 // New puts a node together. Nothing listens yet.
 func New(settings wharfsettings.Settings, log wharfevents.Log) *Node {
+	return Compose(settings, log, Parts{})
+}
+
+// Compose puts a node together from parts that take the place of its own.
+func Compose(settings wharfsettings.Settings, log wharfevents.Log, parts Parts) *Node {
+	parts = parts.withDefaults(settings)
 	self := wharfmember.Member{
 		Node:          settings.NodeID(),
 		Incarnation:   uint64(time.Now().UnixMilli()),
@@ -97,24 +103,30 @@
 		FailureDomain: settings.FailureDomain,
 		Region:        settings.Region,
 	}
-	n := &Node{settings: settings, log: log, view: wharfview.New(self), peers: &wharfpeers.Pool{Own: settings.Advertise, Local: settings.LocalNode()}}
+	n := &Node{
+		settings: settings, log: log, parts: parts, view: wharfview.New(self),
+		peers: &wharfpeers.Pool{Own: settings.Advertise, Local: settings.LocalNode()},
+	}
 	metrics := wharfevents.NewMetrics()
 	n.metrics = metrics
 	registry := wharftarget.NewRegistry(settings.Variant)
 	ledger, quarantine, keys := &wharfbudget.Ledger{}, &wharfquarantine.List{}, &wharfhome.Keys{}
 	n.mesh = &wharfmesh.Mesh{
-		View: n.view, Peers: n.peers, Platform: wharflog.NewClient(settings.LogURL),
-		Registry: registry, Quarantine: quarantine, Keys: keys, Seeds: settings.Seeds,
+		View: n.view, Peers: n.peers, Platform: parts.Log,
+		Registry: registry, Quarantine: quarantine, Keys: keys, Directory: parts.Directory,
+		KeepsKeys: !parts.WithoutKeys, Readers: parts.Readers, PollWait: parts.PollWait,
 		SnapshotInterval: settings.SnapshotInterval, TargetTimeout: settings.TargetTimeout,
 		Log: log, Metrics: metrics,
 	}
 	n.target = &wharftarget.Server{
 		View: n.view, Registry: registry, Ledger: ledger, Quarantine: quarantine, Keys: keys,
-		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Log: log, Metrics: metrics,
+		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Dialect: parts.Dialect,
+		Log: log, Metrics: metrics,
 	}
+	n.hop = &wharfhop.Client{Own: settings.Advertise, Receiver: n.target}
 	n.entry = &wharfentry.Entry{
-		View: n.view, Peers: n.peers, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
-		Variant: settings.Variant, Log: log, Metrics: metrics,
+		View: n.view, Hop: n.hop, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
+		Dialect: parts.Dialect, Variant: settings.Variant, Log: log, Metrics: metrics,
 	}
 	api := &wharfadmin.API{
 		View: n.view, Registry: registry, Entry: n.entry, Ledger: ledger, Keys: keys, Quarantine: quarantine,
@@ -124,6 +136,7 @@
 	n.admin = newHTTPServer(api.Handler())
 	n.grpc = grpc.NewServer(wharfpeers.ServerOptions()...)
 	wharfwire.RegisterNodeServer(n.grpc, nodeService{Server: n.target, mesh: n.mesh})
+	n.peer = newHTTPServer(peerHandler{calls: wharfhop.Handler{Receiver: n.target}, control: n.grpc})
 	n.publish(metrics, keys)
 	return n
 }
@@ -166,7 +179,7 @@
 	defer group.Wait()
 	group.Go((&service{n.caller, listeners[0]}).run)
 	group.Go((&service{n.admin, listeners[1]}).run)
-	group.Go((&service{n.grpc, listeners[2]}).run)
+	group.Go((&service{n.peer, listeners[2]}).run)
 	meshCtx, stopMesh := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopMesh()
 	group.Go(func() { n.mesh.Run(meshCtx) })
@@ -184,7 +197,7 @@
 	var listeners []net.Listener
 	var faults []error
 	for _, address := range []string{n.settings.CallerListen, n.settings.AdminListen, n.settings.NodeListen} {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		l, err := wharfsocket.ListenConfig().Listen(ctx, "tcp", address)
 		if err != nil {
 			n.log.Emit(wharfevents.ListenFailed, wharfevents.Field{Name: "error", Value: err})
 			faults = append(faults, oops.Code("listen").Wrap(err))
@@ -201,14 +214,27 @@
 	return nil, errors.Join(faults...)
 }
 
-// server is an HTTP or gRPC server.
-type server interface {
-	Serve(l net.Listener) error
+// peerHandler serves what other nodes send: calls over HTTP/1.1, and gRPC.
+type peerHandler struct {
+	calls   http.Handler
+	control *grpc.Server
+}
+
+// ServeHTTP tells the two by the protocol.
+func (h peerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.ProtoMajor == 2:
+		h.control.ServeHTTP(w, r)
+	case r.URL.Path == wharfhop.Path:
+		h.calls.ServeHTTP(w, r)
+	default:
+		http.NotFound(w, r)
+	}
 }
 
 // service is a server with the address that it listens on.
 type service struct {
-	server   server
+	server   *http.Server
 	listener net.Listener
 }
 
--- a/wharfnode/internal/wharfserver/peer_test.go
+++ b/wharfnode/wharfserver/peer_test.go
@@ -15,6 +15,7 @@
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
 )
 
@@ -25,6 +26,8 @@
 	m.serve(n, "reads", hello)
 	var pool wharfpeers.Pool
 	t.Cleanup(pool.Close)
+	var hop wharfhop.Client
+	t.Cleanup(hop.Close)
 	client, err := pool.Client(n.settings.NodeListen)
 	if err != nil {
 		t.Fatal(err)
@@ -40,28 +43,28 @@
 		name    string
 		head    *wharfwire.CallHead
 		end     *wharfwire.BodyEnd
-		code    codes.Code
+		fails   bool
 		outcome wharfoutcome.Kind
 		reason  wharfoutcome.Reason
 	}{
-		{"good call", head(func(*wharfwire.CallHead) {}), whole.End(), codes.OK, wharfoutcome.Completed, ""},
-		{"no head", nil, whole.End(), codes.InvalidArgument, 0, ""},
-		{"service without target", head(func(h *wharfwire.CallHead) { h.Service = "other" }), whole.End(), codes.OK, wharfoutcome.NotRun, "no-target"},
-		{"time is over", head(func(h *wharfwire.CallHead) { h.TimeoutMs = 0 }), whole.End(), codes.OK, wharfoutcome.NotRun, "deadline"},
-		{"sender knows more of the log", head(func(h *wharfwire.CallHead) { h.Idempotent, h.Key, h.StateOffset = false, "k", 99 }), whole.End(), codes.OK, wharfoutcome.NotRun, "home-catching-up"},
-		{"closing frame of another body", head(func(h *wharfwire.CallHead) { h.Method, h.ContentLength = "POST", 5 }), other.End(), codes.OK, wharfoutcome.Unknown, "body-incomplete"},
+		{"good call", head(func(*wharfwire.CallHead) {}), whole.End(), false, wharfoutcome.Completed, ""},
+		{"no head", nil, whole.End(), true, 0, ""},
+		{"service without target", head(func(h *wharfwire.CallHead) { h.Service = "other" }), whole.End(), false, wharfoutcome.NotRun, "no-target"},
+		{"time is over", head(func(h *wharfwire.CallHead) { h.TimeoutMs = 0 }), whole.End(), false, wharfoutcome.NotRun, "deadline"},
+		{"sender knows more of the log", head(func(h *wharfwire.CallHead) { h.Idempotent, h.Key, h.StateOffset = false, "k", 99 }), whole.End(), false, wharfoutcome.NotRun, "home-catching-up"},
+		{"closing frame of another body", head(func(h *wharfwire.CallHead) { h.Method, h.ContentLength = "POST", 5 }), other.End(), false, wharfoutcome.Unknown, "body-incomplete"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
-			stream, err := client.Call(ctx)
-			is.NoErr(err)
-			is.NoErr(stream.Send(&wharfwire.CallFrame{Head: tc.head, End: tc.end}))
-			frame, err := stream.Recv()
-			is.Equal(status.Code(err), tc.code)
-			if tc.code != codes.OK {
+			exchange := hop.Open(ctx, n.settings.NodeListen)
+			is.NoErr(exchange.Send(&wharfwire.CallFrame{Head: tc.head, End: tc.end}))
+			is.NoErr(exchange.CloseSend())
+			frame, err := exchange.Recv()
+			is.Equal(err != nil, tc.fails)
+			if tc.fails {
 				return
 			}
 			is.Equal(frame.GetHead().GetAttemptId(), uint64(7))
--- a/wharfnode/internal/wharfserver/stop.go
+++ b/wharfnode/wharfserver/stop.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
-	"ragwortwharf.dev/wharfnode/internal/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // releaseTimeout bounds the part of a planned stop that needs the log.
@@ -29,6 +29,7 @@
 	time.Sleep(spreadTime)
 	n.shutdown(ctx)
 	n.peers.Close()
+	n.hop.Close()
 	n.log.Emit(wharfevents.NodeStopped)
 }
 
@@ -64,6 +65,7 @@
 	if n.admin.Shutdown(ctx) != nil {
 		_ = n.admin.Close()
 	}
+	_ = n.peer.Close()
 	n.grpc.Stop()
 }
 
