--- a/wharf/wharfadmission/limiter.go
+++ b/wharf/wharfadmission/limiter.go
@@ -47,6 +47,26 @@
 // Observe learns nothing.
 func (Unlimited) Observe(time.Time, Sample) {}
 
+// Fixed is a limit that follows from the announced slots alone, for targets that
+// refuse by themselves what is beyond them.
+type Fixed struct {
+	limit int
+}
+
+// kneeShare is the share of its slots up to which a target keeps its speed.
+const kneeShare = 0.95
+
+// NewFixed returns the limiter of a target that announced its slots.
+func NewFixed(slots int) Fixed {
+	return Fixed{limit: max(int(kneeShare*float64(slots)), 1)}
+}
+
+// Limit returns the number of requests that may run.
+func (f Fixed) Limit() int { return f.limit }
+
+// Observe learns nothing.
+func (Fixed) Observe(time.Time, Sample) {}
+
 const (
 	minLimit = 2
 	// coldShare is the share of its slots that a new target starts with.
--- a/wharfnode/internal/wharfadmin/api.go
+++ b/wharfnode/internal/wharfadmin/api.go
@@ -26,9 +26,10 @@
 	maxSlots        = 100_000
 )
 
-// announcer spreads what the targets of this node announced.
-type announcer interface {
-	Announce()
+// targetKeeper takes what the targets of this node announce.
+type targetKeeper interface {
+	Renew(t wharfmember.Target)
+	Leave(address string) bool
 }
 
 // API serves operators and targets.
@@ -39,7 +40,7 @@
 	Ledger     *wharfbudget.Ledger
 	Keys       *wharfhome.Keys
 	Quarantine *wharfquarantine.List
-	Announcer  announcer
+	Targets    targetKeeper
 	Auditor    auditor
 	Log        wharfevents.Log
 	Metrics    wharfevents.Metrics
@@ -87,13 +88,7 @@
 		reply(w, http.StatusBadRequest, f)
 		return
 	}
-	if a.Registry.Renew(time.Now(), t) {
-		a.Log.Emit(wharfevents.TargetAnnounced,
-			wharfevents.Field{Name: "service", Value: t.Service},
-			wharfevents.Field{Name: "target", Value: t.Address},
-			wharfevents.Field{Name: "slots", Value: t.Slots})
-		a.Announcer.Announce()
-	}
+	a.Targets.Renew(t)
 	reply(w, http.StatusOK, t)
 }
 
@@ -125,14 +120,10 @@
 // leave marks a target as leaving: it takes no new work from now on.
 func (a *API) leave(w http.ResponseWriter, r *http.Request) {
 	address := r.URL.Query().Get("address")
-	if !a.Registry.Leave(address) {
+	if !a.Targets.Leave(address) {
 		reply(w, http.StatusNotFound, fault{"target-unknown", "no target has announced the address " + address})
 		return
 	}
-	target := wharfevents.Field{Name: "target", Value: address}
-	a.Log.Emit(wharfevents.TargetLeaving, target)
-	a.Auditor.Audit("target-leaving", target)
-	a.Announcer.Announce()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/wharfnode/internal/wharfhop/client.go
+++ b/wharfnode/internal/wharfhop/client.go
@@ -14,8 +14,8 @@
 	"github.com/samber/oops"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharfsocket"
 )
 
 const (
--- a/wharfnode/internal/wharfmesh/registration.go
+++ b/wharfnode/internal/wharfmesh/registration.go
@@ -36,6 +36,8 @@
 			return
 		}
 	}
+	// Nodes that start together may have found the directory empty.
+	r.mesh.join(ctx)
 	r.removed = map[string]uint64{}
 	for wharftimer.Sleep(ctx, sweepInterval) {
 		r.sweep(ctx)
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -41,7 +41,7 @@
 }
 
 func (r *rounds) run(ctx context.Context) {
-	r.join(ctx)
+	r.mesh.join(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -64,19 +64,19 @@
 // join tells the seeds that this node exists, and learns of some others from
 // them. Members and state come from those, so that nodes which start together
 // don't all ask few seeds for everything.
-func (r *rounds) join(ctx context.Context) {
-	self := r.mesh.View.SelfMember()
-	r.mesh.note([]wharfmember.Member{self})
-	seeds, err := r.mesh.Directory.Seeds(ctx)
+func (m *Mesh) join(ctx context.Context) {
+	self := m.View.SelfMember()
+	m.note([]wharfmember.Member{self})
+	seeds, err := m.Directory.Seeds(ctx)
 	if err != nil {
-		r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
+		m.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
 	}
 	for _, seed := range seeds {
 		if seed == self.Address {
 			continue
 		}
 		// A seed that can't be reached now is met by a later round of others.
-		_ = r.mesh.introduce(ctx, seed)
+		_ = m.introduce(ctx, seed)
 	}
 }
 
@@ -84,7 +84,7 @@
 	r.count++
 	partners := r.mesh.View.Partners(r.count, r.rng)
 	if len(partners) == 0 {
-		r.join(ctx)
+		r.mesh.join(ctx)
 		return
 	}
 	since := r.told
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -90,6 +90,8 @@
 	switch g.variant.Limiter {
 	case "off":
 		return wharfadmission.Unlimited{}
+	case "slots":
+		return wharfadmission.NewFixed(slots)
 	case "gradient":
 		return wharfadmission.NewGradient(slots)
 	default:
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -12,12 +12,14 @@
 
 // Events of the process.
 var (
-	NodeStarted     = Event{1001, "node-started", log.InfoLevel, "node started"}
-	NodeStopping    = Event{1002, "node-stopping", log.InfoLevel, "planned stop began"}
-	NodeStopped     = Event{1003, "node-stopped", log.InfoLevel, "node stopped"}
-	StopCutRequests = Event{1004, "stop-cut-requests", log.ErrorLevel, "stop timeout cut requests in flight"}
-	ListenFailed    = Event{1005, "listen-failed", log.ErrorLevel, "address can't be listened on"}
-	PauseNoticed    = Event{1006, "pause-noticed", log.WarnLevel, "process was paused"}
+	NodeStarted      = Event{1001, "node-started", log.InfoLevel, "node started"}
+	NodeStopping     = Event{1002, "node-stopping", log.InfoLevel, "planned stop began"}
+	NodeStopped      = Event{1003, "node-stopped", log.InfoLevel, "node stopped"}
+	StopCutRequests  = Event{1004, "stop-cut-requests", log.ErrorLevel, "stop timeout cut requests in flight"}
+	ListenFailed     = Event{1005, "listen-failed", log.ErrorLevel, "address can't be listened on"}
+	SettingsReloaded = Event{1007, "settings-reloaded", log.InfoLevel, "changed settings are in force"}
+	SettingsRefused  = Event{1008, "settings-refused", log.ErrorLevel, "changed settings can't be used"}
+	PauseNoticed     = Event{1006, "pause-noticed", log.WarnLevel, "process was paused"}
 )
 
 // Events of requests.
@@ -48,6 +50,7 @@
 	SnapshotAdopted  = Event{4008, "snapshot-adopted", log.InfoLevel, "snapshot taken over"}
 	AppendUncertain  = Event{4009, "append-uncertain", log.WarnLevel, "append to the log may or may not have taken effect"}
 	SnapshotRefused  = Event{4010, "snapshot-refused", log.WarnLevel, "snapshot of a neighbour can't be used"}
+	ConfigRefused    = Event{4012, "config-refused", log.ErrorLevel, "configuration can't be used"}
 	AuditUnavailable = Event{4011, "audit-unavailable", log.WarnLevel, "audit record couldn't be written"}
 )
 
@@ -67,11 +70,11 @@
 
 // Catalogue lists all events.
 var Catalogue = []Event{
-	NodeStarted, NodeStopping, NodeStopped, StopCutRequests, ListenFailed, PauseNoticed,
+	NodeStarted, NodeStopping, NodeStopped, StopCutRequests, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused,
 	BadRequest, LateAnswer, AnswerIncomplete, DispatchFailed,
 	TargetAnnounced, TargetLeaving, TargetExpired, TargetRefused, TargetCrashed, Quarantined,
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
-	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable,
+	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
 	MemberDown, MemberJoined, Refuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationMoved,
 	DirectoryUnavailable,
 }
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -15,13 +16,13 @@
 	"ragwortwharf.dev/wharf/wharfhome"
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfadmin"
 	"ragwortwharf.dev/wharfnode/internal/wharfentry"
 	"ragwortwharf.dev/wharfnode/internal/wharfhop"
 	"ragwortwharf.dev/wharfnode/internal/wharfmesh"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
-	"ragwortwharf.dev/wharfnode/internal/wharfsocket"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
 	"ragwortwharf.dev/wharfnode/wharfevents"
@@ -55,6 +56,8 @@
 	grpc     *grpc.Server
 	metrics  wharfevents.Metrics
 	parts    Parts
+	registry *wharftarget.Registry
+	stopping atomic.Bool
 	// hop carries calls to other nodes, and peer serves what they send.
 	hop  *wharfhop.Client
 	peer *http.Server
@@ -110,6 +113,7 @@
 	metrics := wharfevents.NewMetrics()
 	n.metrics = metrics
 	registry := wharftarget.NewRegistry(settings.Variant)
+	n.registry = registry
 	ledger, quarantine, keys := &wharfbudget.Ledger{}, &wharfquarantine.List{}, &wharfhome.Keys{}
 	n.mesh = &wharfmesh.Mesh{
 		View: n.view, Peers: n.peers, Platform: parts.Log,
@@ -130,7 +134,7 @@
 	}
 	api := &wharfadmin.API{
 		View: n.view, Registry: registry, Entry: n.entry, Ledger: ledger, Keys: keys, Quarantine: quarantine,
-		Announcer: n.mesh, Auditor: n.mesh, Log: log, Metrics: metrics,
+		Targets: n, Auditor: n.mesh, Log: log, Metrics: metrics,
 	}
 	n.caller = newHTTPServer(n.entry)
 	n.admin = newHTTPServer(api.Handler())
--- a/wharfnode/wharfserver/parts.go
+++ b/wharfnode/wharfserver/parts.go
@@ -43,6 +43,8 @@
 	Readers int
 	// PollWait is how long a read waits for records.
 	PollWait time.Duration
+	// Linger is how long callers are served at least after a planned stop began.
+	Linger time.Duration
 }
 
 const (
--- a/wharfnode/wharfserver/stop.go
+++ b/wharfnode/wharfserver/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
@@ -17,16 +18,21 @@
 func (n *Node) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
 	defer cancel()
+	began := time.Now()
+	n.stopping.Store(true)
 	n.log.Emit(wharfevents.NodeStopping)
 	n.mesh.Audit("node-leaving")
 	n.target.SetLeaving()
 	n.mesh.UpdateSelf(func(m wharfmember.Member) wharfmember.Member { return m.WithState(wharfmember.Leaving) })
 	n.drain(ctx)
-	if err := n.release(ctx); err != nil {
-		n.log.Emit(wharfevents.HandOverFailed, wharfevents.Field{Name: "error", Value: err})
+	if !n.parts.WithoutKeys {
+		if err := n.release(ctx); err != nil {
+			n.log.Emit(wharfevents.HandOverFailed, wharfevents.Field{Name: "error", Value: err})
+		}
 	}
 	n.mesh.UpdateSelf(func(m wharfmember.Member) wharfmember.Member { return m.WithState(wharfmember.Left) })
-	time.Sleep(spreadTime)
+	// Callers learn only after a while that the node takes no new requests.
+	wharftimer.Sleep(ctx, max(spreadTime, n.parts.Linger-time.Since(began)))
 	n.shutdown(ctx)
 	n.peers.Close()
 	n.hop.Close()
--- a/wharfnode/wharfsettings/settings.go
+++ b/wharfnode/wharfsettings/settings.go
@@ -32,7 +32,7 @@
 
 // Variant chooses between decisions that are measured against each other.
 type Variant struct {
-	Limiter    string `default:"aimd" enum:"aimd,gradient,off" env:"WHARF_LIMITER" help:"How the limit of a target is found: aimd, gradient, or off for none."`
+	Limiter    string `default:"aimd" enum:"aimd,gradient,slots,off" env:"WHARF_LIMITER" help:"How the limit of a target is found: aimd, gradient, slots for what it announces, or off for none."`
 	QueueOrder string `default:"adaptive" enum:"adaptive,fifo,arrival" env:"WHARF_QUEUE_ORDER" help:"Order of waiting requests: adaptive, fifo within a class, or arrival."`
 	Levels     bool   `default:"true" negatable:"" env:"WHARF_LEVELS" help:"Shed by admission level at every hop."`
 	Retries    string `default:"budgeted" enum:"budgeted,plain,off" env:"WHARF_RETRIES" help:"Retries: budgeted, plain (three tries at every hop), or off."`
