Bound repeats over all nodes, explain requests in bounded logs, test the platform's contracts

Cause: the ratio of retries was each node's own, so 16 nodes could pass the limit of a service together; lines on requests were missing; answers lost by a living target were blamed on the requests in flight there.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := wharf wharfnode wharfctl wharfstandin
-PROGRAMS := wharfnode wharfctl wharfstandin
+MODULES := wharf wharfnode wharfctl wharfstandin platform
+PROGRAMS := wharfnode wharfctl wharfstandin platform
 VERSION ?= 0.1.0
 LDFLAGS := -X ragwortwharf.dev/wharf/wharfcli.Version=$(VERSION)
 LINTER ?= golangci-lint
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # KNOWN-RED.txt are run apart; their failures are printed and don't count.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-modules=(wharf wharfnode wharfctl wharfstandin)
+modules=(wharf wharfnode wharfctl wharfstandin platform)
 known=()
 if [ -f KNOWN-RED.txt ]; then
   mapfile -t known < <(sed -n 's/^test: \(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt)
--- a/wharf/wharfcli/cli.go
+++ b/wharf/wharfcli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 
 	"github.com/alecthomas/kong"
 	"github.com/apex/log"
@@ -83,16 +84,30 @@
 	LogLevel  string `default:"info" enum:"debug,info,warn,error" env:"WHARF_LOG_LEVEL" help:"Least level that is logged."`
 }
 
-// Logger returns a logger with the settings.
-func (l Logs) Logger(w io.Writer) *log.Logger {
-	logger := &log.Logger{Level: log.InfoLevel, Handler: text.New(w)}
+// Logger returns a logger with the settings, and what writes its lines.
+func (l Logs) Logger() (*log.Logger, *Bounded) {
+	format := func(w io.Writer) log.Handler { return text.New(w) }
 	if l.LogFormat == "json" {
-		logger.Handler = json.New(w)
+		format = func(w io.Writer) log.Handler { return json.New(w) }
 	}
+	lines := NewBounded(format)
+	logger := &log.Logger{Level: log.InfoLevel, Handler: lines}
 	if level, err := log.ParseLevel(l.LogLevel); err == nil {
 		logger.Level = level
 	}
-	return logger
+	return logger, lines
+}
+
+// WriteLines writes the lines of a log until the returned function is called,
+// which waits until the last one is written.
+func WriteLines(lines *Bounded, w io.Writer) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { lines.Run(ctx, w) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
 }
 
 // Faults lists what is wrong with settings.
--- a/wharf/wharfstate/state.go
+++ b/wharf/wharfstate/state.go
@@ -80,7 +80,7 @@
 	}
 	f := fold{base: s, offset: s.Offset(), time: s.Time(), snapshotOffset: s.SnapshotOffset()}
 	for _, r := range records {
-		if r.Offset > f.offset+1 && !(s.onlyRoutes() && hasRoutes(r)) {
+		if r.Offset > f.offset+1 && (!s.onlyRoutes() || !hasRoutes(r)) {
 			break
 		}
 		f.offset = max(f.offset, r.Offset-1)
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -33,9 +33,11 @@
 	Quarantine *wharfquarantine.List
 	Consulter  consulter
 	Dialect    wharfdialect.Callers
-	Variant    wharfsettings.Variant
-	Log        wharfevents.Log
-	Metrics    wharfevents.Metrics
+	// RepeatLimit bounds how often requests reach targets beyond the first time.
+	RepeatLimit wharfbudget.RepeatLimit
+	Variant     wharfsettings.Variant
+	Log         wharfevents.Log
+	Metrics     wharfevents.Metrics
 
 	routes   routes
 	spreads  spreads
@@ -65,6 +67,8 @@
 	policy   wharfconfig.Policy
 	priority wharfadmission.Priority
 	body     body
+	// tries counts the attempts that were sent.
+	tries int
 	// fingerprint identifies the request over its resends.
 	fingerprint wharfquarantine.Fingerprint
 }
@@ -109,12 +113,14 @@
 
 // refuse answers a request that ended without an answer of a target.
 func (e *Entry) refuse(c *call, o wharfoutcome.Outcome) {
-	status := o.HTTPStatus()
-	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+	if status := o.HTTPStatus(); status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 		e.Log.Emit(wharfevents.BadRequest,
+			wharfevents.Field{Name: "request", Value: c.requestID},
 			wharfevents.Field{Name: "reason", Value: string(o.Reason)},
 			wharfevents.Field{Name: "caller", Value: c.caller},
 			wharfevents.Field{Name: "service", Value: c.service})
+	} else {
+		e.explainUnserved(c, o)
 	}
 	e.Metrics.Call(c.policy.Class.Name, o, time.Since(c.started))
 	e.Dialect.Refuse(c.w, o)
--- a/wharfnode/internal/wharfentry/respond.go
+++ b/wharfnode/internal/wharfentry/respond.go
@@ -37,7 +37,7 @@
 			result.attemptsLeft = int(end.GetAttemptsLeft())
 			x.writeHead(head, int64(held.Len()))
 			_, _ = x.call.w.Write(held.Bytes())
-			return x.delivered(result)
+			return x.delivered(result, int(head.GetStatus()))
 		}
 		if held.Len() > wholeBytes {
 			break
@@ -50,7 +50,7 @@
 		// only way to tell it.
 		panic(http.ErrAbortHandler)
 	}
-	return x.delivered(result)
+	return x.delivered(result, int(head.GetStatus()))
 }
 
 // answerBody collects the body of an answer from its frames.
@@ -84,7 +84,7 @@
 func (x *transfer) brokenAnswer(err error, head *wharfwire.AnswerHead) attemptResult {
 	x.entry.Log.Emit(wharfevents.AnswerIncomplete,
 		wharfevents.Field{Name: "target", Value: x.target.Address},
-		wharfevents.Field{Name: "error", Value: err})
+		wharfevents.Cause(err))
 	result := x.broken(err)
 	result.report = reportOf(head)
 	if result.outcome.Kind == wharfoutcome.Unknown && result.outcome.Reason == wharfoutcome.ReasonAnswerLost {
@@ -131,9 +131,10 @@
 		status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-func (x *transfer) delivered(result attemptResult) attemptResult {
+func (x *transfer) delivered(result attemptResult, status int) attemptResult {
 	result.answered = true
 	c := x.call
 	x.entry.Metrics.Call(c.policy.Class.Name, result.outcome, time.Since(c.started))
+	x.entry.explainServed(c, x.target, status)
 	return result
 }
--- a/wharfnode/internal/wharfentry/routes.go
+++ b/wharfnode/internal/wharfentry/routes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
+	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
@@ -21,6 +22,7 @@
 	service  string
 	mu       sync.Mutex
 	balancer *wharfrouting.Balancer
+	repeats  wharfbudget.Repeats
 	version  uint64
 	loaded   bool
 }
@@ -81,6 +83,20 @@
 	return !r.balancer.HoldsLowerWork(now, q) && !r.balancer.HasRoom(now, q)
 }
 
+// begin counts a request for the service.
+func (r *route) begin(l wharfbudget.RepeatLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.repeats.Request(time.Now(), l)
+}
+
+// mayRepeat takes a repeat from this node's part of the limit.
+func (r *route) mayRepeat(l wharfbudget.RepeatLimit, nodes int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repeats.Allow(time.Now(), l, nodes)
+}
+
 // closed returns how far the level of the service for a kind of request is
 // from an open one.
 func (r *route) closed(kind string) uint16 {
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -24,8 +24,6 @@
 	// mayHaveCrashed lists the targets where the request may have run and whose
 	// answer didn't come.
 	mayHaveCrashed []string
-	// tries counts the attempts that were sent.
-	tries int
 	// arrivals counts those that a target received, or may have.
 	arrivals int
 	last     attemptResult
@@ -39,6 +37,7 @@
 	s := &sending{entry: e, call: c, route: e.routes.get(e.View, c.service)}
 	c.grant.begin()
 	defer s.end()
+	s.route.begin(e.RepeatLimit)
 	for s.attempt() {
 		if !s.pause() {
 			break
@@ -62,7 +61,7 @@
 // end records what the request has met for the call that it was made for.
 func (s *sending) end() {
 	s.call.grant.end(wharfbudget.Met{
-		Retried: s.tries > 1 && !s.last.answered,
+		Retried: s.call.tries > 1 && !s.last.answered,
 		Refused: !s.last.answered,
 		Closed:  s.route.closed(s.call.route()),
 	})
@@ -89,8 +88,8 @@
 		return false
 	}
 	s.tried = append(s.tried, target.Address)
-	s.tries++
-	e.Metrics.Attempt(s.tries > 1)
+	s.call.tries++
+	e.Metrics.Attempt(s.call.tries > 1)
 	s.last = e.attempt(c, target, down)
 	if s.last.arrived || s.last.answered {
 		s.arrivals++
@@ -99,12 +98,13 @@
 	if s.last.answered {
 		return false
 	}
+	e.explainAttempt(c, target, s.last)
 	return s.mayRetry(request)
 }
 
 // fail sets the outcome of a request that can't be sent.
 func (s *sending) fail(o wharfoutcome.Outcome) {
-	if s.tries > 0 && o.Reason == wharfoutcome.ReasonNoTarget {
+	if s.call.tries > 0 && o.Reason == wharfoutcome.ReasonNoTarget {
 		// All targets were tried: what the last one said says more.
 		return
 	}
@@ -164,9 +164,9 @@
 	}
 	if s.entry.Variant.Retries == "plain" {
 		safe := c.policy.Idempotent || s.last.outcome.Kind == wharfoutcome.NotRun
-		return safe && s.tries < plainTries && !c.body.restSent
+		return safe && s.call.tries < plainTries && !c.body.restSent
 	}
-	if request.Only != "" && s.tries >= homeTries || c.policy.Targets > 0 && s.arrivals >= c.policy.Targets {
+	if request.Only != "" && s.call.tries >= homeTries || c.policy.Targets > 0 && s.arrivals >= c.policy.Targets {
 		return false
 	}
 	if request.Only == "" {
@@ -182,7 +182,13 @@
 		Suspected:      reason == wharfoutcome.ReasonTargetCrashed || s.suspected(),
 		ServiceRefuses: reason == wharfoutcome.ReasonOverload && s.route.serviceRefuses(request),
 	}
-	return wharfbudget.MayRetry(f) && s.entry.ratio.Allow()
+	return wharfbudget.MayRetry(f) && s.entry.ratio.Allow() && s.mayRepeat()
+}
+
+// mayRepeat takes a repeat from the limit if a target may have received the
+// request. What only nodes have refused reaches a target for the first time.
+func (s *sending) mayRepeat() bool {
+	return s.arrivals == 0 || s.route.mayRepeat(s.entry.RepeatLimit, s.entry.View.NodesSeen())
 }
 
 func (s *sending) suspected() bool {
@@ -194,7 +200,7 @@
 	if s.entry.Variant.Retries == "plain" {
 		return s.call.ctx.Err() == nil
 	}
-	wait := wharfbudget.Backoff(newRand(), s.tries)
+	wait := wharfbudget.Backoff(newRand(), s.call.tries)
 	if time.Now().Add(wait).After(s.call.deadline) {
 		return false
 	}
--- a/wharfnode/internal/wharfhop/client.go
+++ b/wharfnode/internal/wharfhop/client.go
@@ -165,7 +165,7 @@
 	if x.ended {
 		r.ContentLength = int64(x.body.Len())
 	}
-	response, err := x.client.roundTripper().RoundTrip(r)
+	response, err := x.client.roundTripper().RoundTrip(r) //nolint:bodyclose // finish closes it
 	if err != nil {
 		return err
 	}
--- a/wharfnode/internal/wharfhop/hop_test.go
+++ b/wharfnode/internal/wharfhop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -210,8 +211,8 @@
 				var b *BrokenError
 				if tc.broken {
 					is.True(err != nil)
-					b, _ = err.(*BrokenError)
-					is.True(b != nil && b.Reason == wharfoutcome.ReasonTargetCrashed)
+					is.True(errors.As(err, &b))
+					is.Equal(b.Reason, wharfoutcome.ReasonTargetCrashed)
 					return
 				}
 				is.NoErr(err)
@@ -287,7 +288,7 @@
 	defer server.Close()
 	response, err := http.Post(server.URL, "application/octet-stream", strings.NewReader("no frame"))
 	is.NoErr(err)
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
 	is.Equal(response.StatusCode, http.StatusBadRequest)
 }
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -174,7 +174,7 @@
 func (m *Mesh) takeSnapshot(data []byte) {
 	s, err := wharfstate.Load(data)
 	if err != nil {
-		m.Log.Emit(wharfevents.SnapshotRefused, wharfevents.Field{Name: "error", Value: err})
+		m.Log.Emit(wharfevents.SnapshotRefused, wharfevents.Cause(err))
 		return
 	}
 	if m.View.Adopt(s) {
--- a/wharfnode/internal/wharfmesh/follower.go
+++ b/wharfnode/internal/wharfmesh/follower.go
@@ -155,7 +155,7 @@
 	}
 	f.failed = err != nil
 	if f.failed {
-		f.mesh.Log.Emit(wharfevents.LogUnavailable, wharfevents.Field{Name: "error", Value: err})
+		f.mesh.Log.Emit(wharfevents.LogUnavailable, wharfevents.Cause(err))
 		return
 	}
 	f.mesh.Log.Emit(wharfevents.LogAvailable)
--- a/wharfnode/internal/wharfmesh/ownership.go
+++ b/wharfnode/internal/wharfmesh/ownership.go
@@ -113,7 +113,7 @@
 	_, err = m.Platform.Append(ctx, wharfstate.Stream, data)
 	m.Metrics.Appends(wharfstate.Stream, resultName(err))
 	if err != nil {
-		m.Log.Emit(wharfevents.AppendUncertain, wharfevents.Field{Name: "error", Value: err})
+		m.Log.Emit(wharfevents.AppendUncertain, wharfevents.Cause(err))
 	}
 	return m.awaitState(ctx, foldWait, folded)
 }
--- a/wharfnode/internal/wharfmesh/registration.go
+++ b/wharfnode/internal/wharfmesh/registration.go
@@ -47,7 +47,7 @@
 func (r *registration) enter(ctx context.Context) bool {
 	err := r.mesh.Directory.Enter(ctx, r.mesh.View.SelfMember())
 	if err != nil {
-		r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
+		r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Cause(err))
 	}
 	return err == nil
 }
@@ -59,7 +59,7 @@
 			continue
 		}
 		if err := r.mesh.Directory.Remove(ctx, m); err != nil {
-			r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
+			r.mesh.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Cause(err))
 			return
 		}
 		r.removed[m.Node] = m.Incarnation
@@ -72,9 +72,10 @@
 	var ended, alive []wharfmember.Member
 	r.mesh.View.Members(func(t *wharfmember.Table) {
 		for _, m := range t.All() {
-			if m.State == wharfmember.Alive {
+			switch m.State {
+			case wharfmember.Alive:
 				alive = append(alive, m)
-			} else if m.State == wharfmember.Left || m.State == wharfmember.Down {
+			case wharfmember.Left, wharfmember.Down:
 				ended = append(ended, m)
 			}
 		}
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -69,7 +69,7 @@
 	m.note([]wharfmember.Member{self})
 	seeds, err := m.Directory.Seeds(ctx)
 	if err != nil {
-		m.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Field{Name: "error", Value: err})
+		m.Log.Emit(wharfevents.DirectoryUnavailable, wharfevents.Cause(err))
 	}
 	for _, seed := range seeds {
 		if seed == self.Address {
--- a/wharfnode/internal/wharfmesh/snapshot.go
+++ b/wharfnode/internal/wharfmesh/snapshot.go
@@ -62,7 +62,7 @@
 	_, err = s.mesh.Platform.Append(ctx, wharfstate.Stream, record)
 	s.mesh.Metrics.Appends(wharfstate.Stream, resultName(err))
 	if err != nil {
-		s.mesh.Log.Emit(wharfevents.AppendUncertain, wharfevents.Field{Name: "error", Value: err})
+		s.mesh.Log.Emit(wharfevents.AppendUncertain, wharfevents.Cause(err))
 		return
 	}
 	s.mesh.Log.Emit(wharfevents.SnapshotWritten,
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -35,9 +35,9 @@
 		return wharfoutcome.Uncertain(excuse)
 	}
 	s.Log.Emit(wharfevents.DispatchFailed,
-		wharfevents.Field{Name: "target", Value: c.target.info.Address},
-		wharfevents.Field{Name: "error", Value: err})
-	if conn.idle > staleIdle && s.accepts(c) {
+		wharfevents.Field{Name: "target", Value: c.target.address},
+		wharfevents.Cause(err))
+	if (conn.idle > staleIdle || s.CrashedRefuse) && s.accepts(c) {
 		return wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
 	}
 	s.blame(c)
@@ -53,6 +53,9 @@
 	if excuse != wharfoutcome.ReasonNone {
 		return wharfoutcome.Uncertain(excuse)
 	}
+	if s.CrashedRefuse && s.accepts(c) {
+		return wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerIncomplete)
+	}
 	s.blame(c)
 	return wharfoutcome.Uncertain(wharfoutcome.ReasonTargetCrashed)
 }
@@ -73,7 +76,7 @@
 
 // accepts reports whether the target takes new connections.
 func (s *Server) accepts(c *call) bool {
-	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(c.ctx, "tcp", c.target.info.Address)
+	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(c.ctx, "tcp", c.target.address)
 	if err != nil {
 		return false
 	}
@@ -88,7 +91,7 @@
 	if fingerprints == nil {
 		return
 	}
-	address := c.target.info.Address
+	address := c.target.address
 	s.Log.Emit(wharfevents.TargetCrashed,
 		wharfevents.Field{Name: "target", Value: address},
 		wharfevents.Field{Name: "in-flight", Value: len(fingerprints)})
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -125,7 +125,7 @@
 		conn.Conn, conn.idle = info.Conn, info.IdleTime
 	}}
 	r := (&http.Request{
-		Method: c.head.GetMethod(), URL: urlOf(c.target.info.Address, c.head.GetUri()),
+		Method: c.head.GetMethod(), URL: urlOf(c.target.address, c.head.GetUri()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Body: c.body,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	r.ContentLength = -1
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -47,8 +47,11 @@
 	Spreader   spreader
 	Auditor    auditor
 	Dialect    wharfdialect.Targets
-	Log        wharfevents.Log
-	Metrics    wharfevents.Metrics
+	// CrashedRefuse says that a target which crashed refuses connections for a
+	// while, so that one which takes them has only lost an answer.
+	CrashedRefuse bool
+	Log           wharfevents.Log
+	Metrics       wharfevents.Metrics
 
 	joiners joiners
 	client  dispatcher
@@ -140,6 +143,7 @@
 			continue
 		}
 		s.Metrics.Dispatch(c.head.GetClass(), o)
+		s.explain(c, o)
 		if c.replay != nil {
 			return s.sendKept(c)
 		}
@@ -148,6 +152,30 @@
 	return c.err
 }
 
+// explain writes the line of a call that ended without the target's answer, with
+// the load that decided it.
+func (s *Server) explain(c *call, o wharfoutcome.Outcome) {
+	fields := []wharfevents.Field{
+		{Name: "request", Value: c.head.GetRequestId()},
+		{Name: "service", Value: c.head.GetService()},
+		{Name: "caller", Value: c.head.GetCaller()},
+		{Name: "rank", Value: c.head.GetRank()},
+		{Name: "outcome", Value: o.Kind.String()},
+		{Name: "reason", Value: string(o.Reason)},
+		{Name: "arrived", Value: c.arrived},
+		{Name: "deadline-ms", Value: time.Until(c.deadline).Milliseconds()},
+	}
+	if c.target != nil {
+		load := c.target.load(0)
+		fields = append(fields,
+			wharfevents.Field{Name: "target", Value: c.target.address},
+			wharfevents.Field{Name: "running", Value: load.GetInFlight()},
+			wharfevents.Field{Name: "queued", Value: load.GetQueued()},
+			wharfevents.Field{Name: "limit", Value: load.GetLimit()})
+	}
+	s.Log.Emit(wharfevents.CallUnserved, fields...)
+}
+
 func (c *call) ticket(now time.Time) wharfadmission.Ticket {
 	return wharfadmission.Ticket{
 		ID:       c.id,
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -13,6 +13,9 @@
 
 // target is one target of this node. Each has its own lock.
 type target struct {
+	// address identifies the target and never changes.
+	address string
+
 	mu         sync.Mutex
 	info       wharfmember.Target
 	gate       *wharfadmission.Gate
@@ -49,7 +52,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, t := range g.targets {
-		if t.info.Address != info.Address {
+		if t.address != info.Address {
 			continue
 		}
 		t.mu.Lock()
@@ -62,6 +65,7 @@
 		return !same
 	}
 	g.targets = append(g.targets, &target{
+		address:  info.Address,
 		info:     info,
 		gate:     wharfadmission.NewGate(g.gateConfig(info.Slots)),
 		waiters:  make(map[uint64]chan admission),
@@ -117,7 +121,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, t := range g.targets {
-		if t.info.Address != address {
+		if t.address != address {
 			continue
 		}
 		t.mu.Lock()
@@ -195,7 +199,7 @@
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	for _, t := range g.targets {
-		if t.info.Address == address {
+		if t.address == address {
 			return t
 		}
 	}
@@ -212,7 +216,7 @@
 		if t.info.Service != service {
 			continue
 		}
-		if t.info.Address == address {
+		if t.address == address {
 			return t
 		}
 		fallback = t
--- a/wharfnode/internal/wharfview/members.go
+++ b/wharfnode/internal/wharfview/members.go
@@ -15,6 +15,14 @@
 	use(&v.members)
 }
 
+// NodesSeen returns how many nodes this one has ever heard of. Unlike the number
+// of those alive it isn't less on one side of a cut.
+func (v *View) NodesSeen() int {
+	v.membersMu.Lock()
+	defer v.membersMu.Unlock()
+	return v.members.Len()
+}
+
 // UpdateSelf changes the entry of this node and raises its version, so that
 // the change wins everywhere.
 func (v *View) UpdateSelf(change func(m wharfmember.Member) wharfmember.Member) {
--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -39,7 +39,9 @@
 	if _, code, done := program.Parse(&settings); done {
 		return code
 	}
-	log := wharfevents.Log{Logger: settings.Logger(os.Stderr)}
+	logger, lines := settings.Logger()
+	defer wharfcli.WriteLines(lines, os.Stdout)()
+	log := wharfevents.Log{Logger: logger}
 	if err := wharfserver.New(settings.WithDefaults(), log).Run(ctx); err != nil {
 		return wharfcli.ExitFailure
 	}
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -28,6 +28,10 @@
 	LateAnswer       = Event{2002, "late-answer", log.WarnLevel, "answer of another attempt thrown away"}
 	AnswerIncomplete = Event{2003, "answer-incomplete", log.WarnLevel, "answer ended before it was whole"}
 	DispatchFailed   = Event{2004, "dispatch-failed", log.WarnLevel, "target broke off a request"}
+	RequestServed    = Event{2005, "request-served", log.InfoLevel, "request has the answer of a target"}
+	RequestUnserved  = Event{2006, "request-unserved", log.WarnLevel, "request ended without the answer of a target"}
+	AttemptFailed    = Event{2007, "attempt-failed", log.WarnLevel, "attempt at a target has no answer"}
+	CallUnserved     = Event{2008, "call-unserved", log.WarnLevel, "call ended at the target's node without its answer"}
 )
 
 // Events of targets.
@@ -72,6 +76,7 @@
 var Catalogue = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopCutRequests, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused,
 	BadRequest, LateAnswer, AnswerIncomplete, DispatchFailed,
+	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
 	TargetAnnounced, TargetLeaving, TargetExpired, TargetRefused, TargetCrashed, Quarantined,
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
@@ -90,9 +95,21 @@
 	Value any
 }
 
+// Cause is the error that led to an event.
+func Cause(err error) Field {
+	return Field{Name: "error", Value: err}
+}
+
+// Wants reports whether events of this kind are written, so that a caller on the
+// path of requests may spare the work of describing one.
+func (l Log) Wants(e Event) bool {
+	logger, ok := l.Logger.(*log.Logger)
+	return l.Logger != nil && (!ok || logger.Level <= e.Level)
+}
+
 // Emit writes an event with its details.
 func (l Log) Emit(e Event, fields ...Field) {
-	if l.Logger == nil {
+	if !l.Wants(e) {
 		return
 	}
 	all := log.Fields{"event": e.Number, "name": e.Name}
--- a/wharfnode/wharfevents/docs_test.go
+++ b/wharfnode/wharfevents/docs_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-const docs = "../../../docs/"
+const docs = "../../docs/"
 
 func readDoc(t *testing.T, name string) string {
 	t.Helper()
--- a/wharfnode/wharfserver/harness_test.go
+++ b/wharfnode/wharfserver/harness_test.go
@@ -120,6 +120,7 @@
 		CallerListen: ports.Address(m.t), NodeListen: listen, AdminListen: ports.Address(m.t),
 		Advertise: nodeLink.address, FailureDomain: domain, Region: "r", LogURL: "http://" + logLink.address,
 		StopTimeout: time.Minute, SnapshotInterval: m.snapshotInterval, TargetTimeout: time.Hour, Variant: m.variant,
+		RepeatRatio: 0.1, RepeatSlack: 64, RepeatWindow: 10 * time.Second,
 	}
 	for _, n := range m.nodes {
 		s.Seeds = append(s.Seeds, n.settings.Advertise)
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -124,13 +124,13 @@
 	}
 	n.target = &wharftarget.Server{
 		View: n.view, Registry: registry, Ledger: ledger, Quarantine: quarantine, Keys: keys,
-		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Dialect: parts.Dialect,
+		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Dialect: parts.Dialect, CrashedRefuse: parts.CrashedRefuse,
 		Log: log, Metrics: metrics,
 	}
 	n.hop = &wharfhop.Client{Own: settings.Advertise, Receiver: n.target}
 	n.entry = &wharfentry.Entry{
 		View: n.view, Hop: n.hop, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
-		Dialect: parts.Dialect, Variant: settings.Variant, Log: log, Metrics: metrics,
+		Dialect: parts.Dialect, RepeatLimit: settings.RepeatLimit(), Variant: settings.Variant, Log: log, Metrics: metrics,
 	}
 	api := &wharfadmin.API{
 		View: n.view, Registry: registry, Entry: n.entry, Ledger: ledger, Keys: keys, Quarantine: quarantine,
@@ -203,7 +203,7 @@
 	for _, address := range []string{n.settings.CallerListen, n.settings.AdminListen, n.settings.NodeListen} {
 		l, err := wharfsocket.ListenConfig().Listen(ctx, "tcp", address)
 		if err != nil {
-			n.log.Emit(wharfevents.ListenFailed, wharfevents.Field{Name: "error", Value: err})
+			n.log.Emit(wharfevents.ListenFailed, wharfevents.Cause(err))
 			faults = append(faults, oops.Code("listen").Wrap(err))
 			continue
 		}
--- a/wharfnode/wharfserver/parts.go
+++ b/wharfnode/wharfserver/parts.go
@@ -39,6 +39,9 @@
 	// WithoutKeys says that callers give no keys of their own, so that their
 	// homes need no records.
 	WithoutKeys bool
+	// CrashedRefuse says that a target which crashed refuses connections for a
+	// while.
+	CrashedRefuse bool
 	// Readers is how many nodes of a failure domain read the log.
 	Readers int
 	// PollWait is how long a read waits for records.
--- a/wharfnode/wharfserver/stop.go
+++ b/wharfnode/wharfserver/stop.go
@@ -27,7 +27,7 @@
 	n.drain(ctx)
 	if !n.parts.WithoutKeys {
 		if err := n.release(ctx); err != nil {
-			n.log.Emit(wharfevents.HandOverFailed, wharfevents.Field{Name: "error", Value: err})
+			n.log.Emit(wharfevents.HandOverFailed, wharfevents.Cause(err))
 		}
 	}
 	n.mesh.UpdateSelf(func(m wharfmember.Member) wharfmember.Member { return m.WithState(wharfmember.Left) })
--- a/wharfnode/wharfsettings/settings.go
+++ b/wharfnode/wharfsettings/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfcli"
 )
 
@@ -24,6 +25,10 @@
 	SnapshotInterval time.Duration `default:"10m" env:"WHARF_SNAPSHOT_INTERVAL" help:"Time between snapshots in the log; well below its retention."`
 	TargetTimeout    time.Duration `default:"10s" env:"WHARF_TARGET_TIMEOUT" help:"How long a target that stops renewing its announcement is kept."`
 
+	RepeatRatio  float64       `default:"0.1" env:"WHARF_REPEAT_RATIO" help:"Share of the requests for a service that may reach targets once more."`
+	RepeatSlack  int           `default:"64" env:"WHARF_REPEAT_SLACK" help:"Requests that may reach targets once more beyond the share, over all nodes in each window."`
+	RepeatWindow time.Duration `default:"10s" env:"WHARF_REPEAT_WINDOW" help:"Time that repeats are counted over."`
+
 	Variant
 
 	wharfcli.Logs
@@ -80,5 +85,17 @@
 	f.AtLeast("stop-timeout", s.StopTimeout, time.Second)
 	f.AtLeast("snapshot-interval", s.SnapshotInterval, time.Second)
 	f.AtLeast("target-timeout", s.TargetTimeout, time.Second)
+	f.AtLeast("repeat-window", s.RepeatWindow, time.Second)
+	if s.RepeatRatio < 0 || s.RepeatRatio > 1 {
+		f.Add("repeat-ratio", "must be from 0 to 1")
+	}
+	if s.RepeatSlack < 0 {
+		f.Add("repeat-slack", "must not be negative")
+	}
 	return f
 }
+
+// RepeatLimit bounds the repeats of all nodes together.
+func (s Settings) RepeatLimit() wharfbudget.RepeatLimit {
+	return wharfbudget.RepeatLimit{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
+}
