--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -47,6 +47,9 @@
 type Config struct {
 	Limiter Limiter
 	Order   Order
+	// MaxWait is how long the queue may become, in the time that it takes to
+	// drain. Zero bounds it by the limit alone.
+	MaxWait time.Duration
 	// Levels turns the admission level on.
 	Levels bool
 	// Reserves lists the share of the limit that each class keeps from the
@@ -311,7 +314,22 @@
 }
 
 func (g *Gate) queueCapacity() int {
-	return max(queuePerSlot*g.cfg.Limiter.Limit(), minQueue)
+	limit := g.cfg.Limiter.Limit()
+	capacity := max(queuePerSlot*limit, minQueue)
+	if g.cfg.MaxWait > 0 && g.hold > 0 {
+		capacity = max(capacity, int(g.cfg.MaxWait.Seconds()/g.hold*float64(limit)))
+	}
+	return capacity
+}
+
+// Wait estimates how long a request that comes now waits for a slot.
+func (g *Gate) Wait() time.Duration {
+	limit := g.cfg.Limiter.Limit()
+	if len(g.running) < limit {
+		return 0
+	}
+	seconds := float64(g.queue.len()+1) / float64(limit) * g.hold
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func (g *Gate) dropLast(fx *Effects) {
--- a/wharf/wharfadmission/queue.go
+++ b/wharf/wharfadmission/queue.go
@@ -11,6 +11,17 @@
 	Priority Priority
 	Arrived  time.Time
 	Deadline time.Time
+	// Objective is the time from the arrival in which an answer has its full
+	// value, zero if none is known.
+	Objective time.Duration
+}
+
+// due returns when an answer loses a part of its value.
+func (t Ticket) due() time.Time {
+	if t.Objective == 0 {
+		return t.Deadline
+	}
+	return t.Arrived.Add(t.Objective)
 }
 
 // Order says which of two waiting requests of one class and depth goes first.
@@ -23,6 +34,10 @@
 	Adaptive Order = iota
 	// FIFO is first-in-first-out at all times.
 	FIFO
+	// Objective runs first, within a class, what loses a part of its value first.
+	// It is for targets whose fresh work is held back by Backpressure, so that
+	// the queue stays short.
+	Objective
 	// Arrival ignores class and depth and drops the newest request. It is the
 	// baseline that the other orders are measured against.
 	Arrival
@@ -55,6 +70,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if r.order == Objective {
+		return a.due().Before(b.due())
+	}
 	if a.Depth != b.Depth {
 		return a.Depth > b.Depth
 	}
--- a/wharf/wharfbudget/retry.go
+++ b/wharf/wharfbudget/retry.go
@@ -24,6 +24,7 @@
 // finalReasons lists refusals that hold wherever the request is sent.
 var finalReasons = []wharfoutcome.Reason{
 	wharfoutcome.ReasonDeadline,
+	wharfoutcome.ReasonOverloadBelow,
 	wharfoutcome.ReasonQuarantined,
 	wharfoutcome.ReasonKeyMismatch,
 	wharfoutcome.ReasonKeyTableFull,
--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -38,9 +38,12 @@
 
 // Reasons, as they appear in the wharf-reason header.
 const (
-	ReasonNone             Reason = ""
-	ReasonOverload         Reason = "overload"
-	ReasonDeadline         Reason = "deadline"
+	ReasonNone     Reason = ""
+	ReasonOverload Reason = "overload"
+	ReasonDeadline Reason = "deadline"
+	// ReasonOverloadBelow refuses fresh work because what the target calls is
+	// overloaded.
+	ReasonOverloadBelow    Reason = "overload-below"
 	ReasonLeaving          Reason = "leaving"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonSuspected        Reason = "suspected"
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -31,6 +31,10 @@
 	// RouteLevel is the lowest admission level that requests of this route met
 	// at the target or below it.
 	RouteLevel wharfadmission.Priority
+	// Pressure is the wait at the target or at what it calls, whichever is longer.
+	Pressure time.Duration
+	// Internal says that this kind of request is a call of a service.
+	Internal bool
 	// RetryAfter is the advice that came with a refusal.
 	RetryAfter time.Duration
 }
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -73,6 +73,8 @@
 		Method:        c.r.Method,
 		Uri:           c.r.RequestURI,
 		Host:          c.r.Host,
+		Route:         c.route(),
+		ObjectiveMs:   c.policy.Objective.Milliseconds(),
 		Headers:       wharfwire.PackHeaders(c.r.Header),
 		Class:         c.policy.Class.Name,
 		Rank:          uint32(c.policy.Class.Rank),
@@ -128,6 +130,8 @@
 		LowestRank: int(l.GetLowestRank()),
 		Room:       int(l.GetRoom()),
 		RouteLevel: wharfadmission.Priority(min(l.GetRouteLevel(), uint32(wharfadmission.LevelOpen))),
+		Internal:   l.GetInternal(),
+		Pressure:   time.Duration(l.GetPressureMs()) * time.Millisecond,
 		RetryAfter: time.Duration(head.GetRetryAfterMs()) * time.Millisecond,
 	}
 }
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -25,6 +25,11 @@
 	Consult(ctx context.Context, owner wharfhome.Owner, id wharfhome.KeyID) (wharfhome.Entry, error)
 }
 
+// pressure takes the wait that a call of a target here has met.
+type pressure interface {
+	Observe(wait time.Duration)
+}
+
 // Entry is the caller's side of a node.
 type Entry struct {
 	View       *wharfview.View
@@ -32,7 +37,9 @@
 	Ledger     *wharfbudget.Ledger
 	Quarantine *wharfquarantine.List
 	Consulter  consulter
-	Dialect    wharfdialect.Callers
+	// Pressure takes what the calls of the targets here meet.
+	Pressure pressure
+	Dialect  wharfdialect.Callers
 	// RepeatLimit bounds how often requests reach targets beyond the first time.
 	RepeatLimit wharfbudget.RepeatLimit
 	Variant     wharfsettings.Variant
--- a/wharfnode/internal/wharfentry/explain.go
+++ b/wharfnode/internal/wharfentry/explain.go
@@ -15,6 +15,7 @@
 		{Name: "route", Value: c.route()},
 		{Name: "service", Value: c.service},
 		{Name: "rank", Value: c.policy.Class.Rank},
+		{Name: "depth", Value: c.depth},
 		{Name: "elapsed-ms", Value: time.Since(c.started).Milliseconds()},
 	}
 }
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
@@ -137,6 +138,7 @@
 
 func (s *sending) observe(target wharfrouting.Target, down int) {
 	s.route.observe(target.Address, s.call.route(), s.last.routing, s.last.latency, s.last.report)
+	s.observePressure()
 	if s.last.sent {
 		s.call.grant.giveBack(down, s.last.attemptsLeft)
 	} else {
@@ -156,6 +158,21 @@
 	}
 }
 
+// observePressure notes the wait that a call of the target here has met. One that
+// was turned away met the longest.
+func (s *sending) observePressure() {
+	report := s.last.report
+	if report == nil || !report.Internal && s.call.depth == 0 {
+		return
+	}
+	switch s.last.outcome.Reason {
+	case wharfoutcome.ReasonOverload, wharfoutcome.ReasonOverloadBelow, wharfoutcome.ReasonDeadline:
+		s.entry.Pressure.Observe(wharfadmission.MaxPressure)
+	default:
+		s.entry.Pressure.Observe(report.Pressure)
+	}
+}
+
 // mayRetry decides whether another attempt follows.
 func (s *sending) mayRetry(request wharfrouting.Request) bool {
 	c := s.call
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -19,6 +19,10 @@
 
 // admit lets a call wait for a slot of its target.
 func (s *Server) admit(c *call) (wharfoutcome.Outcome, bool) {
+	if !s.takesFresh(c) {
+		s.abandonKey(c)
+		return wharfoutcome.Refuse(wharfoutcome.ReasonOverloadBelow).WithRetryAfter(s.Pressure.RetryAfter(c.ticketPriority())), false
+	}
 	o, run := c.target.admit(c)
 	if !run {
 		s.abandonKey(c)
@@ -32,6 +36,12 @@
 	return o, true
 }
 
+// takesFresh decides whether work that begins here is let in. Calls made for work
+// that was let in elsewhere go on.
+func (s *Server) takesFresh(c *call) bool {
+	return !c.fresh || s.Pressure.Admit(c.ticketPriority())
+}
+
 // admit waits until the call may run on the target. The outcome is the zero
 // value if it may.
 func (t *target) admit(c *call) (wharfoutcome.Outcome, bool) {
@@ -157,11 +167,12 @@
 
 // load describes the target to senders. The level is the lowest that the call
 // met here or below.
-func (t *target) load(closedBelow uint16) *wharfwire.Load {
+func (t *target) load(s *Server, c *call) *wharfwire.Load {
+	below := s.Pressure.Below()
 	t.mu.Lock()
-	l := t.gate.Load()
+	l, wait := t.gate.Load(), t.gate.Wait()
 	t.mu.Unlock()
-	level := min(l.Level, wharfadmission.LevelOpen-wharfadmission.Priority(closedBelow))
+	level := min(l.Level, wharfadmission.LevelOpen-wharfadmission.Priority(c.below.Closed))
 	return &wharfwire.Load{
 		InFlight:   uint32(l.Running),
 		Queued:     uint32(l.Queued),
@@ -169,5 +180,7 @@
 		RouteLevel: uint32(level),
 		LowestRank: uint32(max(l.LowestRank, 0)),
 		Room:       uint32(l.Room),
+		Internal:   !c.fresh,
+		PressureMs: uint32(max(wait, below).Milliseconds()),
 	}
 }
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -44,7 +44,7 @@
 		Arrived:      c.arrived,
 	}
 	if c.target != nil {
-		head.Load = c.target.load(c.below.Closed)
+		head.Load = c.target.load(s, c)
 	}
 	return head
 }
--- /dev/null
+++ b/wharfnode/internal/wharftarget/pressure.go
@@ -0,0 +1,91 @@
+package wharftarget
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ragwortwharf.dev/wharf/wharfadmission"
+)
+
+const (
+	// leastRetryAfter is when a caller may come back at the earliest whose work
+	// was held back. The share that is let in moves slower than that.
+	leastRetryAfter = 300 * time.Millisecond
+	// maxRetryAfter bounds the advice. Fresh work of all ranks is let in again
+	// within this time after trouble.
+	maxRetryAfter = 3 * time.Second
+	// sweepInterval is how often routes without requests are forgotten.
+	sweepInterval = 10 * time.Second
+	// retryAfterSpread spreads the advice, in parts of it.
+	retryAfterSpread = 0.5
+)
+
+// Pressure keeps what the calls of this node's targets meet. A node has one
+// target as a rule, so all calls are taken as made by it. The zero Pressure
+// holds nothing back.
+type Pressure struct {
+	// Enabled turns holding back on.
+	Enabled bool
+
+	mu      sync.Mutex
+	state   wharfadmission.Backpressure
+	origins wharfadmission.Origins
+	swept   time.Time
+}
+
+// Fresh reports whether a kind of request is one of clients.
+func (p *Pressure) Fresh(route, caller string, services int) bool {
+	if !p.Enabled {
+		return true
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.swept) > sweepInterval {
+		p.swept = now
+		p.origins.Forget(now)
+	}
+	return p.origins.Fresh(now, route, caller, services)
+}
+
+// Observe takes the wait that a call of a target here has met.
+func (p *Pressure) Observe(wait time.Duration) {
+	if !p.Enabled {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Observe(time.Now(), wait)
+}
+
+// Admit reports whether fresh work is let in.
+func (p *Pressure) Admit(priority wharfadmission.Priority) bool {
+	if !p.Enabled {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Admit(time.Now(), priority)
+}
+
+// Below returns the wait that the calls of the targets here meet.
+func (p *Pressure) Below() time.Duration {
+	if !p.Enabled {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Pressure(time.Now())
+}
+
+// RetryAfter advises a caller whose work was held back. The smaller the share
+// that is let in, the later it is worth to come back, so that less important
+// callers don't spend their tries on a service that has no room for them yet.
+func (p *Pressure) RetryAfter(priority wharfadmission.Priority) time.Duration {
+	p.mu.Lock()
+	share := p.state.Share(time.Now(), priority.Rank())
+	p.mu.Unlock()
+	advice := min(time.Duration(float64(leastRetryAfter)/share), maxRetryAfter)
+	return advice + time.Duration(rand.Float64()*retryAfterSpread*float64(advice))
+}
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -38,8 +38,10 @@
 
 // Server is the target side of a node.
 type Server struct {
-	View       *wharfview.View
-	Registry   *Registry
+	View     *wharfview.View
+	Registry *Registry
+	// Pressure is what the calls of the targets here meet.
+	Pressure   *Pressure
 	Ledger     *wharfbudget.Ledger
 	Quarantine *wharfquarantine.List
 	Keys       *wharfhome.Keys
@@ -80,6 +82,8 @@
 	dispatched bool
 	// told is what the target was told with the request.
 	told wharfdialect.Dispatch
+	// fresh says that this is a request of a client, and no call made to serve one.
+	fresh bool
 	// arrived says that the target received the request, or may have.
 	arrived bool
 	// below is what the calls that the target made for this one have met.
@@ -131,6 +135,7 @@
 		target:      s.Registry.serving(head.GetService(), head.GetTarget()),
 		grant:       wharfbudget.GrantID(rand.Uint64()),
 	}
+	c.fresh = head.GetDepth() == 0 && s.Pressure.Fresh(head.GetRoute(), head.GetCaller(), s.View.Services())
 	return s.serve(c)
 }
 
@@ -166,12 +171,13 @@
 		{Name: "deadline-ms", Value: time.Until(c.deadline).Milliseconds()},
 	}
 	if c.target != nil {
-		load := c.target.load(0)
+		load := c.target.load(s, c)
 		fields = append(fields,
 			wharfevents.Field{Name: "target", Value: c.target.address},
 			wharfevents.Field{Name: "running", Value: load.GetInFlight()},
 			wharfevents.Field{Name: "queued", Value: load.GetQueued()},
-			wharfevents.Field{Name: "limit", Value: load.GetLimit()})
+			wharfevents.Field{Name: "limit", Value: load.GetLimit()},
+			wharfevents.Field{Name: "pressure-ms", Value: load.GetPressureMs()})
 	}
 	s.Log.Emit(wharfevents.CallUnserved, fields...)
 }
@@ -181,12 +187,19 @@
 		ID:       c.id,
 		Rank:     int(c.head.GetRank()),
 		Depth:    int(c.head.GetDepth()),
-		Priority: wharfadmission.Priority(min(c.head.GetPriority(), uint32(wharfadmission.LevelOpen))),
+		Priority: c.ticketPriority(),
 		Arrived:  now,
 		Deadline: c.deadline,
+
+		Objective: time.Duration(c.head.GetObjectiveMs()) * time.Millisecond,
 	}
 }
 
+// ticketPriority returns the priority that the sender gave, within what there is.
+func (c *call) ticketPriority() wharfadmission.Priority {
+	return wharfadmission.Priority(min(c.head.GetPriority(), uint32(wharfadmission.LevelOpen)))
+}
+
 // Calls returns the number of calls in flight.
 func (s *Server) Calls() int {
 	return int(s.calls.Load())
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -78,12 +78,15 @@
 func (g *Registry) gateConfig(slots int) wharfadmission.Config {
 	cfg := wharfadmission.Config{
 		Limiter: g.limiter(slots),
+		MaxWait: g.variant.MaxWait,
 		Levels:  g.variant.Levels && g.variant.Limiter != "off",
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	switch g.variant.QueueOrder {
 	case "fifo":
 		cfg.Order = wharfadmission.FIFO
+	case "objective":
+		cfg.Order = wharfadmission.Objective
 	case "arrival":
 		cfg.Order = wharfadmission.Arrival
 	}
--- a/wharfnode/internal/wharfview/view.go
+++ b/wharfnode/internal/wharfview/view.go
@@ -35,6 +35,9 @@
 
 	membersMu sync.Mutex
 	members   wharfmember.Table
+	// services is the number of services that have targets, so that the request
+	// path reads it without a lock.
+	services atomic.Int64
 
 	changedMu sync.Mutex
 	changed   chan struct{}
@@ -89,6 +92,11 @@
 	return v.State().Config()
 }
 
+// Services returns how many services have targets.
+func (v *View) Services() int {
+	return int(v.services.Load())
+}
+
 // Version changes with each change of state or members.
 func (v *View) Version() uint64 {
 	return v.version.Load()
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -122,14 +122,15 @@
 		SnapshotInterval: settings.SnapshotInterval, TargetTimeout: settings.TargetTimeout,
 		Log: log, Metrics: metrics,
 	}
+	pressure := &wharftarget.Pressure{Enabled: settings.Backpressure}
 	n.target = &wharftarget.Server{
-		View: n.view, Registry: registry, Ledger: ledger, Quarantine: quarantine, Keys: keys,
+		View: n.view, Registry: registry, Pressure: pressure, Ledger: ledger, Quarantine: quarantine, Keys: keys,
 		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Dialect: parts.Dialect, CrashedRefuse: parts.CrashedRefuse,
 		Log: log, Metrics: metrics,
 	}
 	n.hop = &wharfhop.Client{Own: settings.Advertise, Receiver: n.target}
 	n.entry = &wharfentry.Entry{
-		View: n.view, Hop: n.hop, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
+		View: n.view, Hop: n.hop, Pressure: pressure, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
 		Dialect: parts.Dialect, RepeatLimit: settings.RepeatLimit(), Variant: settings.Variant, Log: log, Metrics: metrics,
 	}
 	api := &wharfadmin.API{
--- a/wharfnode/wharfsettings/settings.go
+++ b/wharfnode/wharfsettings/settings.go
@@ -37,10 +37,12 @@
 
 // Variant chooses between decisions that are measured against each other.
 type Variant struct {
-	Limiter    string `default:"aimd" enum:"aimd,gradient,slots,off" env:"WHARF_LIMITER" help:"How the limit of a target is found: aimd, gradient, slots for what it announces, or off for none."`
-	QueueOrder string `default:"adaptive" enum:"adaptive,fifo,arrival" env:"WHARF_QUEUE_ORDER" help:"Order of waiting requests: adaptive, fifo within a class, or arrival."`
-	Levels     bool   `default:"true" negatable:"" env:"WHARF_LEVELS" help:"Shed by admission level at every hop."`
-	Retries    string `default:"budgeted" enum:"budgeted,plain,off" env:"WHARF_RETRIES" help:"Retries: budgeted, plain (three tries at every hop), or off."`
+	Limiter      string        `default:"aimd" enum:"aimd,gradient,slots,off" env:"WHARF_LIMITER" help:"How the limit of a target is found: aimd, gradient, slots for what it announces, or off for none."`
+	QueueOrder   string        `default:"adaptive" enum:"adaptive,fifo,arrival,objective" env:"WHARF_QUEUE_ORDER" help:"Order of waiting requests: adaptive, fifo within a class, arrival, or objective."`
+	Levels       bool          `default:"true" negatable:"" env:"WHARF_LEVELS" help:"Shed by admission level at every hop."`
+	MaxWait      time.Duration `default:"0s" env:"WHARF_MAX_WAIT" help:"Longest queue of a target, in the time that it takes to drain; 0s for twice the limit."`
+	Backpressure bool          `default:"false" negatable:"" env:"WHARF_BACKPRESSURE" help:"Hold fresh work back while the calls that it makes meet queues."`
+	Retries      string        `default:"budgeted" enum:"budgeted,plain,off" env:"WHARF_RETRIES" help:"Retries: budgeted, plain (three tries at every hop), or off."`
 }
 
 // WithDefaults fills in what follows from other settings.
