--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -114,10 +114,30 @@
 		return Target{}, wharfoutcome.ReasonSuspected
 	}
 	s := b.cheaper(now, candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))])
+	if near := b.near(rng, candidates); near != nil {
+		s = b.cheaper(now, near, s)
+	}
 	s.inFlight++
 	return s.Target, wharfoutcome.ReasonNone
 }
 
+// near returns a random candidate of the own failure domain, nil if there is none.
+// Two random ones of all often miss it, and what leaves the domain costs more.
+func (b *Balancer) near(rng *rand.Rand, candidates []*state) *state {
+	var found *state
+	seen := 0
+	for _, s := range candidates {
+		if s.FailureDomain != b.place.FailureDomain {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			found = s
+		}
+	}
+	return found
+}
+
 func (b *Balancer) cheaper(now time.Time, x, y *state) *state {
 	if y.cost(now, b.place) < x.cost(now, b.place) {
 		return y
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -76,7 +76,7 @@
 	// latencyWeight smooths the latency of a target.
 	latencyWeight = 0.2
 
-	otherDomainCost = 1.5
+	otherDomainCost = 2.0
 	otherRegionCost = 8.0
 )
 
--- a/wharfctl/main.go
+++ b/wharfctl/main.go
@@ -25,6 +25,7 @@
 	Explain  explainCommand   `cmd:"" help:"Show how a request would be treated and why."`
 	History  historyCommand   `cmd:"" help:"Show the changes of objects."`
 	Audit    auditCommand     `cmd:"" help:"Show who changed what, and what nodes did by themselves."`
+	Trace    traceCommand     `cmd:"" help:"Show what the logs of nodes say of one request."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- /dev/null
+++ b/wharfctl/trace.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// traceCommand prints what the logs of nodes say of one request.
+type traceCommand struct {
+	ID    string   `arg:"" help:"Id of the request."`
+	Files []string `arg:"" optional:"" help:"Logs in JSON, in any order; standard input if none is named."`
+}
+
+// logLine is a line of a log in JSON.
+type logLine struct {
+	Time    time.Time      `json:"timestamp"`
+	Level   string         `json:"level"`
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+	// source names the log, or what stands before the line in it.
+	source string
+}
+
+// Run prints the lines of all logs in the order of time.
+func (c *traceCommand) Run(t *terminal) error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return oops.Code("request-unknown").Errorf("no line names the request %s; lines on it may have been dropped", c.ID)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	for _, l := range lines {
+		t.printf("%s %s %v %s%s\n", l.Time.Format(time.RFC3339Nano), l.source, l.Fields["event"], l.Message, l.details())
+	}
+	return nil
+}
+
+func (c *traceCommand) read() ([]logLine, error) {
+	if len(c.Files) == 0 {
+		return c.scan("-", os.Stdin)
+	}
+	var all []logLine
+	for _, name := range c.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, oops.Code("log-unreadable").Wrap(err)
+		}
+		lines, err := c.scan(name, f)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// scan returns the lines on the request. Lines that aren't JSON are passed over,
+// because other programs may write to the same log.
+func (c *traceCommand) scan(source string, r io.Reader) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, []byte(c.ID)) {
+			continue
+		}
+		l := logLine{source: source}
+		if json.Unmarshal(text[start:], &l) != nil || l.Fields["request"] != c.ID {
+			continue
+		}
+		// Collectors put the name of the node before the line.
+		if prefix := strings.Fields(string(text[:start])); len(prefix) > 0 {
+			l.source = prefix[len(prefix)-1]
+		}
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, oops.Code("log-unreadable").With("source", source).Wrap(err)
+	}
+	return lines, nil
+}
+
+// details lists the other fields by their names.
+func (l logLine) details() string {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		if name != "event" && name != "name" && name != "request" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, name := range names {
+		_, _ = fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
