Prepare the mesh before targets can announce themselves, drop what nothing uses

Ruled out: load itself; TestAnnouncementBeforeRun shows it each time without. Before: that test fails under -race. After: passes, and platform/ under -race. Also: the pool's Ready, which only its own test still called, is gone.

--- a/wharfnode/internal/wharfmesh/doc.go
+++ b/wharfnode/internal/wharfmesh/doc.go
@@ -7,4 +7,5 @@
 // (follower.go); the others get its records by exchange and read it
 // themselves only when nothing has confirmed their state for long. Records of
 // this node go to the log through ownership.go, snapshot.go and audit.go.
+// registration.go keeps the directory in step, where nodes find each other.
 package wharfmesh
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -71,8 +71,9 @@
 	rumours  []rumour
 }
 
-// Start makes the mesh ready to run and to be called.
-func (m *Mesh) Start() {
+// Prepare makes the mesh ready to be called. It comes before anything else, so
+// that targets may announce themselves and nodes may call before Run.
+func (m *Mesh) Prepare() {
 	m.pool = pond.NewPool(workers)
 	m.urgent = make(chan struct{}, 1)
 	m.audit.queue = make(chan AuditEntry, auditQueue)
--- a/wharfnode/internal/wharfpeers/doc.go
+++ b/wharfnode/internal/wharfpeers/doc.go
@@ -1,4 +1,4 @@
-// Package wharfpeers keeps the connections of a node to other nodes.
-//
-// The entry sends calls over them, and the mesh its exchanges.
+// Package wharfpeers keeps the connections of a node to other nodes for what
+// isn't a call: exchanges, questions about keys and suspicions. Calls go over
+// package wharfhop.
 package wharfpeers
--- a/wharfnode/internal/wharfpeers/pool.go
+++ b/wharfnode/internal/wharfpeers/pool.go
@@ -1,7 +1,6 @@
 package wharfpeers
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -9,7 +8,6 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -24,7 +22,7 @@
 	// keepaliveTime and keepaliveTimeout find peers that vanished silently.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
-	// streamWindow bounds the memory of one call in flight, in bytes.
+	// streamWindow bounds the memory of one exchange under way, in bytes.
 	streamWindow = 256 << 10
 	// connWindow bounds the memory of a connection, in bytes.
 	connWindow = 4 << 20
@@ -113,34 +111,6 @@
 	}
 }
 
-// Ready waits until the node at an address can be sent to. When it fails,
-// nothing was sent, so a request that waits for it has not run.
-func (p *Pool) Ready(ctx context.Context, address string) error {
-	conn, err := p.conn(address)
-	if err != nil {
-		return err
-	}
-	state := conn.GetState()
-	if state == connectivity.Ready {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	for state != connectivity.Ready {
-		if state == connectivity.Idle {
-			conn.Connect()
-		}
-		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
-			return oops.Code("peer-unreachable").Errorf("node %s is in state %s", address, state)
-		}
-		if !conn.WaitForStateChange(ctx, state) {
-			return oops.Code("peer-unreachable").Errorf("node %s took too long to connect", address)
-		}
-		state = conn.GetState()
-	}
-	return nil
-}
-
 // Close ends all connections.
 func (p *Pool) Close() {
 	for i := range p.shards {
--- a/wharfnode/wharfserver/admin_test.go
+++ b/wharfnode/wharfserver/admin_test.go
@@ -1,6 +1,7 @@
 package wharfserver
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -10,7 +11,10 @@
 
 	"github.com/matryer/is"
 
+	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
 func TestAdminContract(t *testing.T) {
@@ -71,3 +75,28 @@
 		})
 	}
 }
+
+// TestAnnouncementBeforeRun takes the announcement of a target while the node
+// starts, as the interfaces of a program that composes it may. The race detector
+// finds parts that aren't ready.
+func TestAnnouncementBeforeRun(t *testing.T) {
+	settings := wharfsettings.Settings{
+		CallerListen: ports.Address(t), NodeListen: ports.Address(t), AdminListen: ports.Address(t),
+		FailureDomain: "domain-a", Region: "r", LogURL: "http://127.0.0.1:1",
+		StopTimeout: time.Second, SnapshotInterval: time.Hour, TargetTimeout: time.Hour,
+	}.WithDefaults()
+	n := New(settings, wharfevents.Log{})
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		n.Renew(wharfmember.Target{Service: "reads", Address: "127.0.0.1:1", Slots: 1})
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- n.Run(ctx) }()
+	<-announced
+	is := is.New(t)
+	is.Equal(len(n.view.Targets("reads")), 1)
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -122,6 +122,7 @@
 		SnapshotInterval: settings.SnapshotInterval, TargetTimeout: settings.TargetTimeout,
 		Log: log, Metrics: metrics,
 	}
+	n.mesh.Prepare()
 	pressure := &wharftarget.Pressure{Enabled: settings.Backpressure}
 	n.target = &wharftarget.Server{
 		View: n.view, Registry: registry, Pressure: pressure, Ledger: ledger, Quarantine: quarantine, Keys: keys,
@@ -179,7 +180,6 @@
 	if err != nil {
 		return err
 	}
-	n.mesh.Start()
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go((&service{n.caller, listeners[0]}).run)
