--- a/wharfnode/internal/wharfmesh/audit.go
+++ b/wharfnode/internal/wharfmesh/audit.go
@@ -17,6 +17,9 @@
 	// auditInterval is the least time between two appends of a node, so that
 	// all nodes together stay within what the log takes.
 	auditInterval = 30 * time.Second
+	// flushTimeout bounds the last append of a planned stop, which must not outlast
+	// the time that the platform leaves to a process.
+	flushTimeout = 200 * time.Millisecond
 	// maxAuditTries bounds the attempts at one record.
 	maxAuditTries = 10
 )
@@ -84,7 +87,7 @@
 func (w *auditWriter) flush() {
 	select {
 	case r := <-w.queue:
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 		defer cancel()
 		_ = w.append(ctx, w.collect(r))
 	default:
