Give a waiting call up while its sender still listens

Cause: a call waited for a slot until its deadline, the same moment at which its sender stopped listening. Ruled out: losses on the way. Lines of the target's nodes say "not run, deadline" for the same ids. Now a call is given up when it could not be answered in time any more, by the target's usual latency, and 10 ms before the deadline at the latest.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -25,6 +25,11 @@
 	// drainWindow is the time over which the drain rate is counted.
 	drainWindow = 200 * time.Millisecond
 
+	// answerMargin is the time that a refusal takes back to its caller: some
+	// round trips between failure domains. Who is refused later than this before
+	// the deadline doesn't hear that the request has not run.
+	answerMargin = 10 * time.Millisecond
+
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 	// retryJitter is the share by which advice is spread.
@@ -359,14 +364,17 @@
 // canEnd reports whether a request can still be answered in time. An idle
 // target always gets a request, so that a wrong estimate mends itself.
 func (g *Gate) canEnd(now time.Time, t Ticket) bool {
-	if !t.Deadline.After(now) {
-		return false
-	}
 	if len(g.running) == 0 {
-		return true
+		return t.Deadline.After(now)
 	}
-	estimate := time.Duration(g.latency[t.Rank] * float64(time.Second))
-	return now.Add(estimate).Before(t.Deadline)
+	return now.Before(g.LatestStart(t))
+}
+
+// LatestStart returns when a request that still waits is to be given up: it
+// could not be answered in time, but its caller still hears that it has not run.
+func (g *Gate) LatestStart(t Ticket) time.Time {
+	estimate := time.Duration(g.latency[min(max(t.Rank, 0), rankCount-1)] * float64(time.Second))
+	return t.Deadline.Add(-max(estimate, answerMargin))
 }
 
 func (g *Gate) refuse(fx *Effects, id uint64, reason wharfoutcome.Reason) {
--- a/wharf/wharfadmission/gate_test.go
+++ b/wharf/wharfadmission/gate_test.go
@@ -174,6 +174,16 @@
 	is.Equal(g.Finish(epoch, 1, time.Millisecond, Answered).Run, []uint64{3})
 }
 
+func TestWaitEndsWhileTheCallerListens(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Config{Limiter: fixedLimit(1)})
+	deadline := epoch.Add(time.Second)
+	is.Equal(g.LatestStart(Ticket{Deadline: deadline}), deadline.Add(-answerMargin))
+	g.Offer(epoch, Ticket{ID: 1, Deadline: deadline})
+	g.Finish(epoch.Add(300*time.Millisecond), 1, 300*time.Millisecond, Answered)
+	is.Equal(g.LatestStart(Ticket{Deadline: deadline}), deadline.Add(-300*time.Millisecond))
+}
+
 func TestReserveStaysOpen(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(Config{Limiter: fixedLimit(10), Reserves: []Reserve{{Rank: 0, Share: 0.3}}})
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -47,22 +47,34 @@
 func (t *target) admit(c *call) (wharfoutcome.Outcome, bool) {
 	decided := make(chan admission, 1)
 	now := time.Now()
+	ticket := c.ticket(now)
 	t.mu.Lock()
 	t.configure(c.config)
 	t.waiters[c.id] = decided
-	t.apply(t.gate.Offer(now, c.ticket(now)))
+	t.apply(t.gate.Offer(now, ticket))
+	latest := t.gate.LatestStart(ticket)
 	t.mu.Unlock()
 	select {
 	case a := <-decided:
 		return a.outcome, a.run
+	default:
+	}
+	// The sender hears of a refusal only if it comes before its own time is over.
+	late := time.NewTimer(latest.Sub(now))
+	defer late.Stop()
+	select {
+	case a := <-decided:
+		return a.outcome, a.run
+	case <-late.C:
+		return t.withdraw(c, decided, wharfoutcome.ReasonDeadline)
 	case <-c.ctx.Done():
-		return t.withdraw(c, decided)
+		return t.withdraw(c, decided, c.excuse(c.ctx))
 	}
 }
 
 // withdraw takes a call back whose caller went away or whose time is over. If
 // it was admitted in the same moment, its slot is freed.
-func (t *target) withdraw(c *call, decided <-chan admission) (wharfoutcome.Outcome, bool) {
+func (t *target) withdraw(c *call, decided <-chan admission, reason wharfoutcome.Reason) (wharfoutcome.Outcome, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.waiters, c.id)
@@ -74,7 +86,7 @@
 		}
 	default:
 	}
-	return wharfoutcome.Refuse(c.excuse(c.ctx)).WithRetryAfter(t.gate.RetryAfter()), false
+	return wharfoutcome.Refuse(reason).WithRetryAfter(t.gate.RetryAfter()), false
 }
 
 // apply tells waiting calls what the gate decided; the caller holds the lock.
