End calls to targets and nodes that have fallen silent

Cause: a target or node that loses its power or is cut off breaks no connection. Ruled out: a bound on the time of a call. Long calls are usual, and a target that waits for calls of its own looks the same from its answers. Now a watch of each address notices that answers stay away for twice their usual time (250 ms at least) and tries a connection. Two failed tries end the calls under way, so that those which may run twice go elsewhere, and the target or node is left until it takes connections again.

--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -67,6 +67,7 @@
 	ReasonDepthExceeded    Reason = "depth-exceeded"
 	ReasonUnreachable      Reason = "unreachable"
 	ReasonTargetCrashed    Reason = "target-crashed"
+	ReasonTargetSilent     Reason = "target-silent"
 	ReasonAnswerLost       Reason = "answer-lost"
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonCancelled        Reason = "cancelled"
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -12,6 +12,7 @@
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfhop"
+	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 )
 
@@ -42,9 +43,16 @@
 }
 
 func (e *Entry) exchange(c *call, target wharfrouting.Target, attempts int) attemptResult {
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
-	x := &transfer{entry: e, call: c, target: target, stream: e.Hop.Open(ctx, target.NodeAddress), head: e.head(c, target, attempts)}
+	watch := e.Hop.Watch(target.NodeAddress)
+	if watch.Silent() {
+		return notSent(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
+	}
+	ctx, watched := watch.Begin(c.ctx)
+	defer watched.End()
+	x := &transfer{
+		entry: e, call: c, target: target, ctx: ctx, watched: watched,
+		stream: e.Hop.Open(ctx, target.NodeAddress), head: e.head(c, target, attempts),
+	}
 	if err := x.begin(); err != nil {
 		return x.broken(err)
 	}
@@ -111,7 +119,7 @@
 	switch result.outcome.Reason {
 	case wharfoutcome.ReasonTargetCrashed, wharfoutcome.ReasonUnreachable:
 		result.routing = wharfrouting.TargetFailed
-	case wharfoutcome.ReasonNoTarget:
+	case wharfoutcome.ReasonNoTarget, wharfoutcome.ReasonTargetSilent:
 		result.routing = wharfrouting.Unreachable
 	}
 	result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
@@ -150,11 +158,15 @@
 		result.outcome = wharfoutcome.Uncertain(x.entry.cause(c))
 		return result
 	}
+	result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
+	if errors.Is(context.Cause(x.ctx), wharfsilence.ErrSilent) {
+		// Asking the node what became of the request would take as long again.
+		return result
+	}
 	var broken *wharfhop.BrokenError
 	if errors.As(err, &broken) {
 		return brokenOff(broken.Reason)
 	}
-	result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonAnswerLost)
 	if !c.policy.Idempotent && c.key == "" {
 		result.outcome = x.resolve(result.outcome)
 	}
--- a/wharfnode/internal/wharfentry/transfer.go
+++ b/wharfnode/internal/wharfentry/transfer.go
@@ -1,6 +1,7 @@
 package wharfentry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfhop"
+	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
@@ -19,7 +21,10 @@
 	target wharfrouting.Target
 	stream wharfhop.Exchange
 	head   *wharfwire.CallHead
-	sum    wharfwire.BodySum
+	// ctx is that of the stream, and watched tells whether the node answers.
+	ctx     context.Context
+	watched *wharfsilence.Call
+	sum     wharfwire.BodySum
 	// upload ends when the rest of a long body was sent.
 	upload *upload
 }
@@ -73,6 +78,7 @@
 		if err != nil {
 			return x.broken(err)
 		}
+		x.watched.Heard()
 		if frame.GetAdmitted() != nil {
 			x.startUpload()
 			continue
--- a/wharfnode/internal/wharfhop/client.go
+++ b/wharfnode/internal/wharfhop/client.go
@@ -16,6 +16,8 @@
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 const (
@@ -45,7 +47,9 @@
 	// serves its calls. Calls to itself don't leave the process.
 	Own      string
 	Receiver Receiver
+	Log      wharfevents.Log
 
+	watches   sync.Map
 	once      sync.Once
 	transport *http.Transport
 }
@@ -62,6 +66,26 @@
 	Sent() bool
 }
 
+// Watch returns what watches the calls to an address.
+func (c *Client) Watch(address string) *wharfsilence.Watch {
+	if w, ok := c.watches.Load(address); ok {
+		return w.(*wharfsilence.Watch)
+	}
+	w, _ := c.watches.LoadOrStore(address, &wharfsilence.Watch{
+		Address: address, Changed: func(silent bool) { c.changed(address, silent) },
+	})
+	return w.(*wharfsilence.Watch)
+}
+
+// changed takes note of a node that has fallen silent or answers again.
+func (c *Client) changed(address string, silent bool) {
+	event := wharfevents.NodeAnswers
+	if silent {
+		event = wharfevents.NodeSilent
+	}
+	c.Log.Emit(event, wharfevents.Field{Name: "node", Value: address})
+}
+
 // Open begins a call to the node at an address. It ends with its context.
 func (c *Client) Open(ctx context.Context, address string) Exchange {
 	if address == c.Own && c.Receiver != nil {
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -136,12 +136,12 @@
 	return true
 }
 
-// refuseWaiting sends the waiting calls of a leaving target elsewhere; the
-// caller holds the lock.
-func (t *target) refuseWaiting() {
+// refuseWaiting sends the waiting calls of a target elsewhere; the caller holds
+// the lock.
+func (t *target) refuseWaiting(reason wharfoutcome.Reason) {
 	for id := range t.waiters {
 		t.gate.Withdraw(id)
-		t.tell(id, admission{outcome: wharfoutcome.Refuse(wharfoutcome.ReasonLeaving)})
+		t.tell(id, admission{outcome: wharfoutcome.Refuse(reason)})
 	}
 }
 
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
@@ -65,6 +67,8 @@
 	switch {
 	case !time.Now().Before(c.deadline):
 		return wharfoutcome.ReasonDeadline
+	case errors.Is(context.Cause(ctx), wharfsilence.ErrSilent):
+		return wharfoutcome.ReasonTargetSilent
 	case ctx.Err() != nil:
 		return wharfoutcome.ReasonCancelled
 	case c.body.broken.Load():
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -78,6 +78,8 @@
 	})
 	ctx, cancel := s.dispatchContext(c)
 	defer cancel()
+	ctx, watched := c.target.watch.Begin(ctx)
+	defer watched.End()
 	var conn connection
 	response, err := s.client.roundTrip(s.request(c, ctx, &conn))
 	if err != nil {
@@ -87,6 +89,7 @@
 		s.finishKey(c, o, nil)
 		return o, false
 	}
+	watched.Heard()
 	defer func() { _ = response.Body.Close() }()
 	c.arrived = true
 	switch v := s.Dialect.Judge(response, c.told); v.Kind {
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -7,7 +7,10 @@
 
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
@@ -25,6 +28,7 @@
 	renewed    time.Time
 	leaving    bool
 	configured uint64
+	watch      *wharfsilence.Watch
 }
 
 // flight is a request that was dispatched to a target.
@@ -37,14 +41,15 @@
 // Registry holds the targets that announced themselves to this node.
 type Registry struct {
 	variant wharfsettings.Variant
+	log     wharfevents.Log
 
 	mu      sync.RWMutex
 	targets []*target
 }
 
 // NewRegistry returns a registry without targets.
-func NewRegistry(v wharfsettings.Variant) *Registry {
-	return &Registry{variant: v}
+func NewRegistry(v wharfsettings.Variant, log wharfevents.Log) *Registry {
+	return &Registry{variant: v, log: log}
 }
 
 // Renew takes an announcement, and reports whether it says anything new.
@@ -64,14 +69,16 @@
 		t.info, t.renewed, t.leaving = info, now, false
 		return !same
 	}
-	g.targets = append(g.targets, &target{
+	t := &target{
 		address:  info.Address,
 		info:     info,
 		gate:     wharfadmission.NewGate(g.gateConfig(info.Slots)),
 		waiters:  make(map[uint64]chan admission),
 		inFlight: make(map[uint64]flight),
 		renewed:  now,
-	})
+	}
+	t.watch = &wharfsilence.Watch{Address: info.Address, Changed: func(silent bool) { g.changed(t, silent) }}
+	g.targets = append(g.targets, t)
 	return true
 }
 
@@ -115,7 +122,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = true
-	t.refuseWaiting()
+	t.refuseWaiting(wharfoutcome.ReasonLeaving)
 	return true
 }
 
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -41,6 +41,8 @@
 	TargetExpired   = Event{3003, "target-expired", log.WarnLevel, "target stopped renewing its announcement"}
 	TargetRefused   = Event{3004, "target-refused", log.WarnLevel, "announcement of a target refused"}
 	TargetCrashed   = Event{3005, "target-crashed", log.ErrorLevel, "target broke off with requests in flight"}
+	TargetSilent    = Event{3007, "target-silent", log.WarnLevel, "target answers no request and takes no connection"}
+	TargetAnswers   = Event{3008, "target-answers", log.InfoLevel, "target that was silent takes connections again"}
 	Quarantined     = Event{3006, "request-quarantined", log.ErrorLevel, "request quarantined for crashing targets"}
 )
 
@@ -69,6 +71,8 @@
 	HandOverFailed   = Event{5007, "hand-over-failed", log.ErrorLevel, "records of keys couldn't be handed over"}
 	IncarnationMoved = Event{5008, "incarnation-raised", log.WarnLevel, "incarnation raised above an earlier life"}
 
+	NodeSilent           = Event{5010, "node-silent", log.WarnLevel, "node answers no call and takes no connection"}
+	NodeAnswers          = Event{5011, "node-answers", log.InfoLevel, "node that was silent takes connections again"}
 	DirectoryUnavailable = Event{5009, "directory-unavailable", log.WarnLevel, "directory of nodes can't be read or written"}
 )
 
@@ -77,11 +81,11 @@
 	NodeStarted, NodeStopping, NodeStopped, StopCutRequests, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused,
 	BadRequest, LateAnswer, AnswerIncomplete, DispatchFailed,
 	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
-	TargetAnnounced, TargetLeaving, TargetExpired, TargetRefused, TargetCrashed, Quarantined,
+	TargetAnnounced, TargetLeaving, TargetExpired, TargetRefused, TargetCrashed, TargetSilent, TargetAnswers, Quarantined,
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
 	MemberDown, MemberJoined, Refuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationMoved,
-	DirectoryUnavailable,
+	DirectoryUnavailable, NodeSilent, NodeAnswers,
 }
 
 // Log writes numbered events. The zero Log writes nothing.
--- a/wharfnode/wharfserver/link_test.go
+++ b/wharfnode/wharfserver/link_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -11,9 +12,13 @@
 type link struct {
 	address string
 	to      string
-	mu      sync.Mutex
-	cut     bool
-	conns   []net.Conn
+	// listener is closed, and what is sent is lost, once the link is dark.
+	listener net.Listener
+	dark     atomic.Bool
+
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
 }
 
 func newLink(t *testing.T, to string) *link {
@@ -22,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{address: listener.Addr().String(), to: to}
+	l := &link{address: listener.Addr().String(), to: to, listener: listener}
 	go l.run(listener)
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -42,8 +47,8 @@
 			_ = from.Close()
 			continue
 		}
-		go pass(from, to)
-		go pass(to, from)
+		go l.pass(from, to)
+		go l.pass(to, from)
 	}
 }
 
@@ -59,12 +64,31 @@
 	return true
 }
 
-func pass(from, to net.Conn) {
-	_, _ = io.Copy(to, from)
+func (l *link) pass(from, to net.Conn) {
+	_, _ = io.Copy(darkWriter{to, &l.dark}, from)
 	_ = to.Close()
 	_ = from.Close()
 }
 
+// darkWriter loses what is written once the link is dark.
+type darkWriter struct {
+	io.Writer
+	dark *atomic.Bool
+}
+
+func (w darkWriter) Write(p []byte) (int, error) {
+	if w.dark.Load() {
+		return len(p), nil
+	}
+	return w.Writer.Write(p)
+}
+
+// fallDark leaves the connections open, but nothing passes any more.
+func (l *link) fallDark() {
+	l.dark.Store(true)
+	_ = l.listener.Close()
+}
+
 func (l *link) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -112,7 +112,7 @@
 	}
 	metrics := wharfevents.NewMetrics()
 	n.metrics = metrics
-	registry := wharftarget.NewRegistry(settings.Variant)
+	registry := wharftarget.NewRegistry(settings.Variant, log)
 	n.registry = registry
 	ledger, quarantine, keys := &wharfbudget.Ledger{}, &wharfquarantine.List{}, &wharfhome.Keys{}
 	n.mesh = &wharfmesh.Mesh{
@@ -129,7 +129,7 @@
 		Consulter: n.mesh, Spreader: n.mesh, Auditor: n.mesh, Dialect: parts.Dialect, CrashedRefuse: parts.CrashedRefuse,
 		Log: log, Metrics: metrics,
 	}
-	n.hop = &wharfhop.Client{Own: settings.Advertise, Receiver: n.target}
+	n.hop = &wharfhop.Client{Own: settings.Advertise, Receiver: n.target, Log: log}
 	n.entry = &wharfentry.Entry{
 		View: n.view, Hop: n.hop, Pressure: pressure, Ledger: ledger, Quarantine: quarantine, Consulter: n.mesh,
 		Dialect: parts.Dialect, RepeatLimit: settings.RepeatLimit(), Variant: settings.Variant, Log: log, Metrics: metrics,
