Spare targets that lose answers

Ruled out: ejection. A target that loses a part of its answers still serves most, and the trouble may hit half of a service. Now what a target has lost of late raises its cost, and is forgotten by half in 2 s.

--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -1,6 +1,7 @@
 package wharfrouting
 
 import (
+	"math"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
@@ -52,6 +53,8 @@
 	Unreachable
 	// TargetFailed means that the node lives but its target broke off.
 	TargetFailed
+	// Lost means that the target lives and its answer was lost.
+	Lost
 	// Withdrawn means that the sender gave up; it says nothing of the target.
 	Withdrawn
 )
@@ -76,6 +79,14 @@
 	// latencyWeight smooths the latency of a target.
 	latencyWeight = 0.2
 
+	// lossWeight smooths the share of answers that a target loses.
+	lossWeight = 0.1
+	// lossCost is what a lost answer costs beside one that comes. The request has
+	// failed if it must not run twice, and has cost its work in any case.
+	lossCost = 10.0
+	// lossHalfLife is the time in which what is known of losses counts half.
+	lossHalfLife = 2 * time.Second
+
 	otherDomainCost = 2.0
 	otherRegionCost = 8.0
 )
@@ -88,6 +99,9 @@
 	added    time.Time
 	inFlight int
 	latency  float64
+	// losses is the share of answers that the target has lost of late.
+	losses   float64
+	lostLast time.Time
 	report   Report
 	reported time.Time
 
@@ -126,6 +140,7 @@
 	if s.latency > 0 {
 		cost *= s.latency
 	}
+	cost *= 1 + lossCost*s.lossRate(now)
 	if age := now.Sub(s.added); age < slowStart {
 		cost *= 1 + (slowStartCost-1)*(1-age.Seconds()/slowStart.Seconds())
 	}
@@ -138,11 +153,27 @@
 	return cost
 }
 
+// lossRate returns the share of answers that the target loses. What is long past
+// counts less, because a target that is spared shows little of itself.
+func (s *state) lossRate(now time.Time) float64 {
+	if s.losses == 0 {
+		return 0
+	}
+	return s.losses * math.Exp2(-now.Sub(s.lostLast).Seconds()/lossHalfLife.Seconds())
+}
+
+// lost counts an answer that didn't come.
+func (s *state) lost(now time.Time) {
+	rate := s.lossRate(now)
+	s.losses, s.lostLast = rate+lossWeight*(1-rate), now
+}
+
 // observe takes the result of one attempt.
 func (s *state) observe(now time.Time, result Result, latency time.Duration) {
 	switch result {
 	case Answered:
 		s.failures, s.ejections = 0, 0
+		s.losses -= lossWeight * s.losses
 		s.ejectedUntil = time.Time{}
 		if s.latency == 0 {
 			s.latency = latency.Seconds()
@@ -150,7 +181,10 @@
 		s.latency += latencyWeight * (latency.Seconds() - s.latency)
 	case Unreachable:
 		s.eject(now)
+	case Lost:
+		s.lost(now)
 	case TargetFailed:
+		s.lost(now)
 		s.failures++
 		if s.failures >= failuresToEject {
 			s.eject(now)
--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -121,6 +121,8 @@
 		result.routing = wharfrouting.TargetFailed
 	case wharfoutcome.ReasonNoTarget, wharfoutcome.ReasonTargetSilent:
 		result.routing = wharfrouting.Unreachable
+	case wharfoutcome.ReasonAnswerLost, wharfoutcome.ReasonAnswerIncomplete:
+		result.routing = wharfrouting.Lost
 	}
 	result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
 	return result
@@ -185,8 +187,13 @@
 // early, for a reason.
 func brokenOff(reason wharfoutcome.Reason) attemptResult {
 	result := attemptResult{sent: true, arrived: true, lost: true, routing: wharfrouting.Withdrawn, outcome: wharfoutcome.Uncertain(reason)}
-	if reason == wharfoutcome.ReasonTargetCrashed {
+	switch reason {
+	case wharfoutcome.ReasonTargetCrashed:
 		result.routing = wharfrouting.TargetFailed
+	case wharfoutcome.ReasonTargetSilent:
+		result.routing = wharfrouting.Unreachable
+	case wharfoutcome.ReasonAnswerLost, wharfoutcome.ReasonAnswerIncomplete:
+		result.routing = wharfrouting.Lost
 	}
 	return result
 }
