Ask at the addresses of ended nodes whether they are back

Ruled out: keeping the members on the VM (no disks), and more tries of the directory (it is away). A meeting exchanges both tables.

--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -209,6 +209,9 @@
 			wharfevents.Field{Name: "node", Value: n.Node},
 			wharfevents.Field{Name: "state", Value: n.State.String()})
 	}
+	m.mu.Lock()
+	m.departures.note(time.Now(), result.News)
+	m.mu.Unlock()
 	if len(result.News) > 0 && len(result.News) <= maxRumours {
 		m.note(result.News)
 		m.Hurry()
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -66,9 +66,10 @@
 	// releasing says that a planned stop gives up the ownership of keys.
 	releasing atomic.Bool
 
-	mu       sync.Mutex
-	detector wharfmember.Detector
-	rumours  []rumour
+	mu         sync.Mutex
+	detector   wharfmember.Detector
+	rumours    []rumour
+	departures departures
 }
 
 // Prepare makes the mesh ready to be called. It comes before anything else, so
--- a/wharfnode/internal/wharfmesh/round.go
+++ b/wharfnode/internal/wharfmesh/round.go
@@ -98,6 +98,9 @@
 			}
 		})
 	}
+	for _, ended := range r.revisits() {
+		group.Submit(func() { r.mesh.revisit(ctx, ended, since) })
+	}
 	_ = group.Wait()
 }
 
--- a/wharfnode/wharfserver/harness_test.go
+++ b/wharfnode/wharfserver/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -125,12 +126,31 @@
 	for _, n := range m.nodes {
 		s.Seeds = append(s.Seeds, n.settings.Advertise)
 	}
+	n := m.run(s, nodeLink, logLink)
+	m.nodes = append(m.nodes, n)
+	return n
+}
+
+// restart stops a node and starts it again at its addresses. It knows no seed.
+func (m *mesh) restart(n *testNode) *testNode {
+	m.t.Helper()
+	n.stop()
+	<-n.ended
+	s := n.settings
+	s.Seeds = nil
+	again := m.run(s, n.link, n.logLink)
+	m.nodes[slices.Index(m.nodes, n)] = again
+	return again
+}
+
+// run runs a node until the end of the test.
+func (m *mesh) run(s wharfsettings.Settings, nodeLink, logLink *link) *testNode {
+	m.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{
 		Node: New(s.WithDefaults(), wharfevents.Log{}), stop: cancel, ended: make(chan struct{}),
 		caller: "http://" + s.CallerListen, admin: "http://" + s.AdminListen, link: nodeLink, logLink: logLink,
 	}
-	m.nodes = append(m.nodes, n)
 	go func() {
 		defer close(n.ended)
 		if err := n.Run(ctx); err != nil {
