Say code and details of errors in logs, not where they arose

Cause: lines of directory-unavailable held a trace with paths of the machine that built the program, ten times the bytes of the rest. Events for silence are warnings, so that busy seconds don't drop them.

--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -1,6 +1,13 @@
 package wharfevents
 
-import "github.com/apex/log"
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/apex/log"
+	"github.com/samber/oops"
+)
 
 // Event is an entry of the catalogue.
 type Event struct {
@@ -42,7 +49,7 @@
 	TargetRefused   = Event{3004, "target-refused", log.WarnLevel, "announcement of a target refused"}
 	TargetCrashed   = Event{3005, "target-crashed", log.ErrorLevel, "target broke off with requests in flight"}
 	TargetSilent    = Event{3007, "target-silent", log.WarnLevel, "target answers no request and takes no connection"}
-	TargetAnswers   = Event{3008, "target-answers", log.InfoLevel, "target that was silent takes connections again"}
+	TargetAnswers   = Event{3008, "target-answers", log.WarnLevel, "target that was silent takes connections again"}
 	Quarantined     = Event{3006, "request-quarantined", log.ErrorLevel, "request quarantined for crashing targets"}
 )
 
@@ -72,7 +79,7 @@
 	IncarnationMoved = Event{5008, "incarnation-raised", log.WarnLevel, "incarnation raised above an earlier life"}
 
 	NodeSilent           = Event{5010, "node-silent", log.WarnLevel, "node answers no call and takes no connection"}
-	NodeAnswers          = Event{5011, "node-answers", log.InfoLevel, "node that was silent takes connections again"}
+	NodeAnswers          = Event{5011, "node-answers", log.WarnLevel, "node that was silent takes connections again"}
 	DirectoryUnavailable = Event{5009, "directory-unavailable", log.WarnLevel, "directory of nodes can't be read or written"}
 )
 
@@ -101,7 +108,28 @@
 
 // Cause is the error that led to an event.
 func Cause(err error) Field {
-	return Field{Name: "error", Value: err}
+	return Field{Name: "error", Value: describe(err)}
+}
+
+// describe gives an error's code, text and details in a line, and leaves out where
+// in the source it arose.
+func describe(err error) string {
+	if err == nil {
+		return ""
+	}
+	coded, ok := oops.AsOops(err)
+	if !ok {
+		return err.Error()
+	}
+	text := err.Error()
+	if code := coded.Code(); code != nil {
+		text = fmt.Sprintf("%v: %s", code, text)
+	}
+	details := coded.Context()
+	for _, name := range slices.Sorted(maps.Keys(details)) {
+		text += fmt.Sprintf("; %s: %v", name, details[name])
+	}
+	return text
 }
 
 // Wants reports whether events of this kind are written, so that a caller on the
