Try a free slot that nobody waits for with less time left

Ruled out: the same where slots are short. There they go to calls that end in time as a rule. Test: TestFreeSlotIsTriedWithLittleTimeLeft.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -25,6 +25,10 @@
 	// drainWindow is the time over which the drain rate is counted.
 	drainWindow = 200 * time.Millisecond
 
+	// luckyShare is the part of the usual latency in which a request can still end
+	// with some luck. It is tried where nobody else waits for the slot: late is
+	// better than never.
+	luckyShare = 0.5
 	// answerMargin is the time that a refusal takes back to its caller: some
 	// round trips between failure domains. Who is refused later than this before
 	// the deadline doesn't hear that the request has not run.
@@ -364,17 +368,35 @@
 // canEnd reports whether a request can still be answered in time. An idle
 // target always gets a request, so that a wrong estimate mends itself.
 func (g *Gate) canEnd(now time.Time, t Ticket) bool {
-	if len(g.running) == 0 {
+	switch {
+	case len(g.running) == 0:
 		return t.Deadline.After(now)
+	case g.uncontended(t):
+		lucky := time.Duration(luckyShare * float64(g.estimate(t.Rank)))
+		return now.Before(t.Deadline.Add(-max(lucky, answerMargin)))
 	}
 	return now.Before(g.LatestStart(t))
 }
 
+// uncontended reports whether there is a slot for a request that nobody else
+// waits for.
+func (g *Gate) uncontended(t Ticket) bool {
+	others := g.queue.len()
+	if others == 1 && g.queue.tickets[0].ID == t.ID {
+		others = 0
+	}
+	return others == 0 && len(g.running) < g.limitFor(t.Rank)
+}
+
+// estimate returns the usual latency of a rank.
+func (g *Gate) estimate(rank int) time.Duration {
+	return time.Duration(g.latency[min(max(rank, 0), rankCount-1)] * float64(time.Second))
+}
+
 // LatestStart returns when a request that still waits is to be given up: it
 // could not be answered in time, but its caller still hears that it has not run.
 func (g *Gate) LatestStart(t Ticket) time.Time {
-	estimate := time.Duration(g.latency[min(max(t.Rank, 0), rankCount-1)] * float64(time.Second))
-	return t.Deadline.Add(-max(estimate, answerMargin))
+	return t.Deadline.Add(-max(g.estimate(t.Rank), answerMargin))
 }
 
 func (g *Gate) refuse(fx *Effects, id uint64, reason wharfoutcome.Reason) {
--- a/wharf/wharfadmission/gate_test.go
+++ b/wharf/wharfadmission/gate_test.go
@@ -184,6 +184,21 @@
 	is.Equal(g.LatestStart(Ticket{Deadline: deadline}), deadline.Add(-300*time.Millisecond))
 }
 
+// TestFreeSlotIsTriedWithLittleTimeLeft is the pattern of calls that come late
+// to a target with room, while latencies are spread widely.
+func TestFreeSlotIsTriedWithLittleTimeLeft(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Config{Limiter: fixedLimit(2)})
+	g.Offer(epoch, Ticket{ID: 1, Deadline: epoch.Add(time.Minute)})
+	now := epoch.Add(time.Second)
+	g.Finish(now, 1, time.Second, Answered) // a request takes a second
+	g.Offer(now, Ticket{ID: 2, Deadline: now.Add(time.Minute)})
+	is.Equal(len(g.Offer(now, Ticket{ID: 3, Deadline: now.Add(400 * time.Millisecond)}).Refused), 1)
+	is.Equal(g.Offer(now, Ticket{ID: 4, Deadline: now.Add(600 * time.Millisecond)}).Run, []uint64{4})
+	// Where slots are short, they go to those that end in time as a rule.
+	is.Equal(len(g.Offer(now, Ticket{ID: 5, Deadline: now.Add(600 * time.Millisecond)}).Refused), 1)
+}
+
 func TestReserveStaysOpen(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(Config{Limiter: fixedLimit(10), Reserves: []Reserve{{Rank: 0, Share: 0.3}}})
