--- a/wharf/wharfadmission/backpressure.go
+++ b/wharf/wharfadmission/backpressure.go
@@ -12,12 +12,8 @@
 	// nodes that meet the same congestion, without talking to each other.
 	topRankPressure = 160 * time.Millisecond
 	leastPressure   = 20 * time.Millisecond
-	// maxPressure is the longest wait that counts.
-	maxPressure = 250 * time.Millisecond
-	// turnedAwayPressure stands for a call that was turned away or ran out of
-	// time. The work that made it fails with it, and it makes ten or twenty calls:
-	// a few of a hundred turned away are as bad as a long queue.
-	turnedAwayPressure = 2 * time.Second
+	// MaxPressure stands for a call that was turned away.
+	MaxPressure = 250 * time.Millisecond
 	// leastFactor is the deepest cut of the share that is let in, once a window.
 	// It opens by reopenStep, and by calmStep when hardly any wait is met.
 	leastFactor = 0.7
@@ -48,15 +44,7 @@
 // Observe takes the wait that a call of the target met, there or below.
 func (b *Backpressure) Observe(now time.Time, wait time.Duration) {
 	b.turn(now)
-	b.sum += min(wait, maxPressure)
-	b.count++
-}
-
-// TurnedAway notes that a call of the target was refused for overload or ran out
-// of time.
-func (b *Backpressure) TurnedAway(now time.Time) {
-	b.turn(now)
-	b.sum += turnedAwayPressure
+	b.sum += min(wait, MaxPressure)
 	b.count++
 }
 
--- a/wharf/wharfadmission/backpressure_test.go
+++ b/wharf/wharfadmission/backpressure_test.go
@@ -66,7 +66,7 @@
 	var b Backpressure
 	now := time.Unix(1000, 0)
 	for range 100 {
-		b.Observe(now, maxPressure)
+		b.Observe(now, MaxPressure)
 		now = now.Add(50 * time.Millisecond)
 	}
 	last := PriorityOf(2, bucketsPerRank-1)
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -25,12 +25,9 @@
 	Consult(ctx context.Context, owner wharfhome.Owner, id wharfhome.KeyID) (wharfhome.Entry, error)
 }
 
-// pressure takes what a call of a target here has met.
+// pressure takes the wait that a call of a target here has met.
 type pressure interface {
-	// Observe takes the wait of a call, there or below.
 	Observe(wait time.Duration)
-	// TurnedAway notes that a call was refused for overload or ran out of time.
-	TurnedAway()
 }
 
 // Entry is the caller's side of a node.
--- a/wharfnode/internal/wharfentry/routes.go
+++ b/wharfnode/internal/wharfentry/routes.go
@@ -25,8 +25,6 @@
 	repeats  wharfbudget.Repeats
 	version  uint64
 	loaded   bool
-	// calls lists the kinds of requests that are calls of services.
-	calls map[string]bool
 }
 
 func (s *routes) get(v *wharfview.View, service string) *route {
@@ -76,20 +74,6 @@
 	r.balancer.Observe(time.Now(), address, kind, result, latency, report)
 }
 
-// internal reports whether a kind of request is a call of a service, by the last
-// report of a node.
-func (r *route) internal(kind string, report *wharfrouting.Report) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if report != nil && r.calls[kind] != report.Internal {
-		if r.calls == nil {
-			r.calls = make(map[string]bool)
-		}
-		r.calls[kind] = report.Internal
-	}
-	return r.calls[kind]
-}
-
 // serviceRefuses reports whether a refusal for overload was the last word of
 // the whole service.
 func (r *route) serviceRefuses(q wharfrouting.Request) bool {
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
@@ -157,27 +158,21 @@
 	}
 }
 
-// observePressure notes what a call of the target here has met.
+// observePressure notes the wait that a call of the target here has met. One that
+// was turned away met the longest.
 func (s *sending) observePressure() {
-	if !s.internal() {
+	report := s.last.report
+	if report == nil || !report.Internal && s.call.depth == 0 {
 		return
 	}
 	switch s.last.outcome.Reason {
 	case wharfoutcome.ReasonOverload, wharfoutcome.ReasonOverloadBelow, wharfoutcome.ReasonDeadline:
-		s.entry.Pressure.TurnedAway()
+		s.entry.Pressure.Observe(wharfadmission.MaxPressure)
 	default:
-		if s.last.report != nil {
-			s.entry.Pressure.Observe(s.last.report.Pressure)
-		}
+		s.entry.Pressure.Observe(report.Pressure)
 	}
 }
 
-// internal reports whether the request is a call of the target here: by what it
-// carries, or by what the service's nodes say of its kind.
-func (s *sending) internal() bool {
-	return s.call.depth > 0 || s.route.internal(s.call.route(), s.last.report)
-}
-
 // mayRetry decides whether another attempt follows.
 func (s *sending) mayRetry(request wharfrouting.Request) bool {
 	c := s.call
--- a/wharfnode/internal/wharftarget/pressure.go
+++ b/wharfnode/internal/wharftarget/pressure.go
@@ -59,16 +59,6 @@
 	p.state.Observe(time.Now(), wait)
 }
 
-// TurnedAway notes that a call of a target here was turned away.
-func (p *Pressure) TurnedAway() {
-	if !p.Enabled {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.TurnedAway(time.Now())
-}
-
 // Admit reports whether fresh work is let in.
 func (p *Pressure) Admit(priority wharfadmission.Priority) bool {
 	if !p.Enabled {
