Send what must not run twice on connections used a moment ago

Cause: a target or something before it may forget an idle connection without notice, after 300 ms and up; what is sent next is reset. For a request that must not run twice that is "unknown", and its caller can't try again. Ruled out: trying again by ourselves, because a reset looks the same after a crash in the middle of the work; a fresh connection for each, a millisecond more. Now such requests use connections that rested for 200 ms at most. Test: TestForgottenConnectionLosesNoBooking fails before (504), passes now.

--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -21,26 +21,39 @@
 	// idleConnTimeout is shorter than that of common servers, so that a target
 	// rarely closes a connection at the moment it is used again.
 	idleConnTimeout = 3 * time.Second
+	// onceIdleTimeout is that of connections for requests which must not run twice.
+	// What a target says of a connection that it has forgotten looks like a crash,
+	// and such a request can't be tried again. It is below the shortest times after
+	// which servers and what lies before them are known to forget, 300 ms.
+	onceIdleTimeout = 200 * time.Millisecond
 	// maxIdleConns is the number of idle connections kept to a target.
 	maxIdleConns = 256
 )
 
 // dispatcher sends requests to targets. The zero dispatcher is ready to use.
 type dispatcher struct {
-	once      sync.Once
-	transport *http.Transport
+	setUp sync.Once
+	// again carries requests that may run twice, and once the others.
+	again, once *http.Transport
 }
 
-func (d *dispatcher) roundTrip(r *http.Request) (*http.Response, error) {
-	d.once.Do(func() {
-		d.transport = &http.Transport{
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		}
+func (d *dispatcher) roundTrip(r *http.Request, idempotent bool) (*http.Response, error) {
+	d.setUp.Do(func() {
+		d.again, d.once = newTransport(idleConnTimeout), newTransport(onceIdleTimeout)
 	})
-	return d.transport.RoundTrip(r)
+	if idempotent {
+		return d.again.RoundTrip(r)
+	}
+	return d.once.RoundTrip(r)
+}
+
+func newTransport(idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idle,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}
 }
 
 // connection is what is known of the connection that a request went over.
@@ -81,7 +94,7 @@
 	ctx, watched := c.target.watch.Begin(ctx)
 	defer watched.End()
 	var conn connection
-	response, err := s.client.roundTrip(s.request(c, ctx, &conn))
+	response, err := s.client.roundTrip(s.request(c, ctx, &conn), c.head.GetIdempotent())
 	if err != nil {
 		o := s.failed(c, ctx, conn, err)
 		result = resultOf(ctx, o)
