Add what a target loses to its cost, and count its errors

Cause: the cost of losses was a factor, and a target that fails all it gets is idle however loaded the others are, so that it still drew work; answers of 500 and above counted as good ones, quick ones at that. Now losses are added to the load, errors of the target count as losses, and their time isn't taken for its latency. Test: TestTargetThatLosesAnswersIsSpared, with a target that fails everything.

--- a/wharf/wharfrouting/losses_test.go
+++ b/wharf/wharfrouting/losses_test.go
@@ -52,6 +52,7 @@
 	b := newTestBalancer(4)
 	is.True(shareOf(t, b, "t0", 4000, 0) > 0.15)
 	is.True(shareOf(t, b, "t0", 4000, 0.4) < 0.10)
+	is.True(shareOf(t, b, "t0", 4000, 1) < 0.05)
 	// It comes back by what it is still sent.
 	is.True(shareOf(t, b, "t0", 4000, 0) > 0.15)
 }
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -53,7 +53,8 @@
 	Unreachable
 	// TargetFailed means that the node lives but its target broke off.
 	TargetFailed
-	// Lost means that the target lives and its answer was lost.
+	// Lost means that the target lives and its answer was lost, or says that the
+	// target has failed.
 	Lost
 	// Withdrawn means that the sender gave up; it says nothing of the target.
 	Withdrawn
@@ -81,9 +82,10 @@
 
 	// lossWeight smooths the share of answers that a target loses.
 	lossWeight = 0.1
-	// lossCost is what a lost answer costs beside one that comes. The request has
-	// failed if it must not run twice, and has cost its work in any case.
-	lossCost = 10.0
+	// lossCost is what a target that fails all requests costs, in times that a
+	// full one does. It is added, because one that fails is idle however loaded the
+	// others are.
+	lossCost = 3.0
 	// lossHalfLife is the time in which what is known of losses counts half.
 	lossHalfLife = 2 * time.Second
 
@@ -136,11 +138,10 @@
 		limit = s.report.Limit
 		busy = max(busy, s.report.Running+s.report.Queued)
 	}
-	cost := float64(busy+1) / float64(max(limit, 1))
+	cost := float64(busy+1)/float64(max(limit, 1)) + lossCost*s.lossRate(now)
 	if s.latency > 0 {
 		cost *= s.latency
 	}
-	cost *= 1 + lossCost*s.lossRate(now)
 	if age := now.Sub(s.added); age < slowStart {
 		cost *= 1 + (slowStartCost-1)*(1-age.Seconds()/slowStart.Seconds())
 	}
--- a/wharfnode/internal/wharfentry/respond.go
+++ b/wharfnode/internal/wharfentry/respond.go
@@ -28,6 +28,10 @@
 		sent: true, outcome: wharfoutcome.Done(),
 		routing: wharfrouting.Answered, report: reportOf(head),
 	}
+	if head.GetStatus() >= http.StatusInternalServerError {
+		// Such an answer comes quicker than a good one, and must not draw work.
+		result.routing = wharfrouting.Lost
+	}
 	held := answerBody{stream: x.stream}
 	for end, err := held.take(frame); ; end, err = held.next() {
 		if err != nil {
