--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -98,6 +98,8 @@
 // Log writes numbered events. The zero Log writes nothing.
 type Log struct {
 	Logger log.Interface
+	// Dropped returns how many lines were dropped so far. It may be nil.
+	Dropped func() uint64
 }
 
 // Field is one detail of an event.
--- a/wharfnode/wharfserver/admin_test.go
+++ b/wharfnode/wharfserver/admin_test.go
@@ -1,6 +1,7 @@
 package wharfserver
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -100,3 +101,10 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+func TestDroppedLinesAreCounted(t *testing.T) {
+	n := New(wharfsettings.Settings{}.WithDefaults(), wharfevents.Log{Dropped: func() uint64 { return 7 }})
+	var text bytes.Buffer
+	n.metrics.WritePrometheus(&text)
+	is.New(t).True(strings.Contains(text.String(), "wharf_log_lines_dropped 7\n"))
+}
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -153,6 +153,9 @@
 	metrics.Gauge("wharf_keys", func() float64 { return float64(keys.Len()) })
 	metrics.Gauge("wharf_key_bytes", func() float64 { return float64(keys.Bytes()) })
 	metrics.Gauge("wharf_calls_in_flight", func() float64 { return float64(n.entry.Calls()) })
+	if n.log.Dropped != nil {
+		metrics.Gauge("wharf_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
+	}
 	metrics.Gauge("wharf_members", func() float64 {
 		members := 0
 		n.view.Members(func(t *wharfmember.Table) { members = t.Len() })
