--- a/wharfnode/internal/wharfhop/client.go
+++ b/wharfnode/internal/wharfhop/client.go
@@ -23,7 +23,7 @@
 const (
 	// dialTimeout bounds the set-up of a connection to another node. It covers
 	// the round trip between regions several times.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes a connection to another node that isn't used. It is
 	// shorter than that of a node's server.
 	idleTimeout = 30 * time.Second
