Open the share of fresh work carefully above where trouble began

Cause: what a service says of its queue takes some 0.6 s to come up three hops, and the share that a node lets in opened by a tenth in each calm window of 0.2 s. Now the share opens fast up to three quarters of where trouble began last and creeps beyond, faster the longer it is calm; the less important is cut deeper.

--- a/wharf/wharfadmission/backpressure.go
+++ b/wharf/wharfadmission/backpressure.go
@@ -1,6 +1,9 @@
 package wharfadmission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// pressureWindow is the time over which pressure is averaged. It spans the
@@ -14,12 +17,23 @@
 	leastPressure   = 20 * time.Millisecond
 	// MaxPressure stands for a call that was turned away.
 	MaxPressure = 250 * time.Millisecond
-	// leastFactor is the deepest cut of the share that is let in, once a window.
-	// It opens by reopenStep, and by calmStep when hardly any wait is met.
-	leastFactor = 0.7
-	reopenStep  = 0.03
-	calmStep    = 0.1
-	calmShare   = 0.25
+	// topRankCut is the deepest cut of the share of the most important rank in a
+	// window. Each rank below it is cut deeper by rankCut, down to leastCut, so
+	// that the less important gives way before the queue reaches what the more
+	// important bears.
+	topRankCut = 0.95
+	rankCut    = 0.1
+	leastCut   = 0.7
+	// The share opens by openStep up to safeShare of where trouble began last, and
+	// beyond by creepStep, which doubles every creepDouble windows. What is said of
+	// a queue some hops below is late, and a share that opens faster has let in too
+	// much before that is known.
+	openStep    = 0.1
+	safeShare   = 0.75
+	creepStep   = 0.01
+	creepDouble = 5
+	// openWindows is the number of calm windows after which all is let in.
+	openWindows = 50
 	// fallingShare is the change of pressure between windows that means that the
 	// queue already drains, so that no further cut is needed.
 	fallingShare = 0.95
@@ -37,6 +51,10 @@
 	count       int
 	// withheld is the share of each rank that isn't let in.
 	withheld [rankCount]float64
+	// knee is the share at which trouble began last, and calm counts the windows
+	// since then.
+	knee [rankCount]float64
+	calm [rankCount]int
 	// pressure and before are those of the last two windows.
 	pressure, before time.Duration
 }
@@ -99,17 +117,36 @@
 		let := 1 - b.withheld[rank]
 		bears := bearable(rank)
 		switch {
-		case float64(b.pressure) <= calmShare*float64(bears):
-			let = min(let+calmStep*float64(windows), 1)
 		case b.pressure <= bears:
-			let = min(let+reopenStep*float64(windows), 1)
+			for range min(windows, openWindows) {
+				let = b.open(rank, let)
+			}
 		case !drains:
-			let = max(let*max(float64(bears)/float64(b.pressure), leastFactor), leastShare)
+			if b.calm[rank] > 0 {
+				b.knee[rank], b.calm[rank] = let, 0
+			}
+			let = max(let*max(float64(bears)/float64(b.pressure), cutOf(rank)), leastShare)
 		}
 		b.withheld[rank] = 1 - let
 	}
 }
 
+// open returns the share of a rank after one more calm window.
+func (b *Backpressure) open(rank int, let float64) float64 {
+	b.calm[rank]++
+	creep := creepStep * math.Exp2(float64(b.calm[rank]/creepDouble))
+	step := min(creep, openStep)
+	if safe := safeShare * b.knee[rank]; let < safe {
+		step = max(min(openStep, safe-let), step)
+	}
+	return min(let+step, 1)
+}
+
+// cutOf returns the deepest cut of a rank in a window.
+func cutOf(rank int) float64 {
+	return max(topRankCut-rankCut*float64(rank), leastCut)
+}
+
 // bearable returns the wait below that a rank bears.
 func bearable(rank int) time.Duration {
 	return max(topRankPressure>>min(rank, 8), leastPressure)
