Answer resends of a key also while its target is silent

Cause, found in review: calls to a silent target were refused before the key was looked at, so that a resend of a booking that had run was told "not-run". Ruled out: the same for waiting calls; their keys are given up when refused. Now silence is looked at where a slot is asked for. Test: TestSilentTargetsKeptAnswer fails before (503), passes now.

--- a/wharfnode/internal/wharfsilence/watch.go
+++ b/wharfnode/internal/wharfsilence/watch.go
@@ -31,8 +31,8 @@
 type Watch struct {
 	// Address is tried when answers stay away.
 	Address string
-	// Changed is told when the side falls silent, and when that is over. It may
-	// be nil.
+	// Changed is told when the side falls silent, and when it takes connections
+	// again. It may be nil.
 	Changed func(silent bool)
 
 	mu      sync.Mutex
@@ -122,7 +122,8 @@
 	defer cancel()
 	for failed := 0; ctx.Err() == nil; {
 		if w.accepts(ctx) {
-			break
+			w.settle(true)
+			return
 		}
 		failed++
 		if failed == dialTries && !w.fall(before) {
@@ -130,7 +131,7 @@
 		}
 		wharftimer.Sleep(ctx, tryPause)
 	}
-	w.settle()
+	w.settle(false)
 }
 
 func (w *Watch) accepts(ctx context.Context) bool {
@@ -158,14 +159,15 @@
 	return true
 }
 
-// settle lets calls through again.
-func (w *Watch) settle() {
+// settle lets calls through again, because the side accepts them or only calls
+// can tell.
+func (w *Watch) settle(accepts bool) {
 	w.mu.Lock()
 	was := w.silent
 	w.silent, w.armed = false, false
 	w.silence.Forget()
 	w.mu.Unlock()
-	if was {
+	if was && accepts {
 		w.tell(false)
 	}
 }
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -23,6 +23,10 @@
 		s.abandonKey(c)
 		return wharfoutcome.Refuse(wharfoutcome.ReasonOverloadBelow).WithRetryAfter(s.Pressure.RetryAfter(c.ticketPriority())), false
 	}
+	if c.target.watch.Silent() {
+		s.abandonKey(c)
+		return wharfoutcome.Refuse(wharfoutcome.ReasonTargetSilent), false
+	}
 	o, run := c.target.admit(c)
 	if !run {
 		s.abandonKey(c)
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -101,7 +101,6 @@
 // filters lists the filters in their order.
 var filters = []filter{
 	(*Server).checkLeaving,
-	(*Server).checkSilent,
 	(*Server).checkDeadline,
 	(*Server).checkQuarantine,
 	(*Server).claimKey,
--- a/wharfnode/internal/wharftarget/silent.go
+++ b/wharfnode/internal/wharftarget/silent.go
@@ -5,15 +5,8 @@
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
-// checkSilent sends calls elsewhere while the target takes no connections.
-func (s *Server) checkSilent(c *call) (wharfoutcome.Outcome, bool) {
-	if c.target.watch.Silent() {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonTargetSilent), false
-	}
-	return wharfoutcome.Outcome{}, true
-}
-
-// changed takes note of a target that has fallen silent or answers again.
+// changed takes note of a target that has fallen silent or answers again. What
+// waits for a silent one is sent elsewhere.
 func (g *Registry) changed(t *target, silent bool) {
 	event := wharfevents.TargetAnswers
 	if silent {
--- a/wharfnode/wharfserver/silent_test.go
+++ b/wharfnode/wharfserver/silent_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharfnode/internal/wharftest"
 )
 
 // silentLimit is how long requests may take while a part of what serves them has
@@ -63,6 +65,31 @@
 	is.True(slowest < silentLimit)
 }
 
+// TestSilentTargetsKeptAnswer has a target fall silent after a booking with a key.
+// A resend gets the kept answer, and never hears that the booking has not run.
+func TestSilentTargetsKeptAnswer(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t)
+	n, sender := m.start("domain-a"), m.start("domain-b")
+	var dark atomic.Bool
+	server := m.serve(n, "book", func(w http.ResponseWriter, r *http.Request) {
+		if dark.Load() {
+			<-r.Context().Done()
+		}
+		_, _ = w.Write([]byte("booked"))
+	})
+	booking := request{method: http.MethodPost, service: "book", key: "k", body: "seat 1"}
+	is.Equal(sender.send(booking).body, "booked")
+	dark.Store(true)
+	_ = server.Listener.Close()
+	wharftest.Eventually(t, "the silence is known", func() bool {
+		return sender.send(request{service: "book"}).reason == "target-silent"
+	})
+	got := sender.send(booking)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, "booked")
+}
+
 // TestSilentNodeIsLeft has the node of one of two targets fall dark, so that
 // nothing that is sent to it is answered and no connection breaks.
 func TestSilentNodeIsLeft(t *testing.T) {
