Decide on the share of fresh work every 0.1 s

Cause: what comes up from a service three hops below is as old as the means of three windows. Ruled out: no mean at all; a window then holds few calls. Windows of 0.1 s with half the steps keep the pace and halve the age.

--- a/wharf/wharfadmission/backpressure.go
+++ b/wharf/wharfadmission/backpressure.go
@@ -8,7 +8,7 @@
 const (
 	// pressureWindow is the time over which pressure is averaged. It spans the
 	// answers of several calls and a few round trips between nodes.
-	pressureWindow = 200 * time.Millisecond
+	pressureWindow = 100 * time.Millisecond
 	// topRankPressure is the wait below at which even the most important fresh
 	// work is held back. Each rank below it bears half as much, down to
 	// leastPressure, so that the least important work gives way first on all
@@ -21,19 +21,19 @@
 	// window. Each rank below it is cut deeper by rankCut, down to leastCut, so
 	// that the less important gives way before the queue reaches what the more
 	// important bears.
-	topRankCut = 0.95
-	rankCut    = 0.1
-	leastCut   = 0.7
+	topRankCut = 0.975
+	rankCut    = 0.05
+	leastCut   = 0.84
 	// The share opens by openStep up to safeShare of where trouble began last, and
 	// beyond by creepStep, which doubles every creepDouble windows. What is said of
 	// a queue some hops below is late, and a share that opens faster has let in too
 	// much before that is known.
-	openStep    = 0.1
+	openStep    = 0.05
 	safeShare   = 0.75
-	creepStep   = 0.01
-	creepDouble = 5
+	creepStep   = 0.005
+	creepDouble = 10
 	// openWindows is the number of calm windows after which all is let in.
-	openWindows = 50
+	openWindows = 100
 	// fallingShare is the change of pressure between windows that means that the
 	// queue already drains, so that no further cut is needed.
 	fallingShare = 0.95
