--- a/wharf/wharfsocket/socket.go
+++ b/wharf/wharfsocket/socket.go
@@ -1,6 +1,7 @@
 package wharfsocket
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -19,11 +20,11 @@
 	unackedTimeout = 2 * time.Second
 )
 
-// KeepAlive is how idle connections are probed.
-var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+// keepAlive is how idle connections are probed.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 
-// Control sets the options of a socket that has no setting in package net.
-func Control(_, _ string, c syscall.RawConn) error {
+// control sets the options of a socket that has no setting in package net.
+func control(_, _ string, c syscall.RawConn) error {
 	var fault error
 	err := c.Control(func(fd uintptr) {
 		fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
@@ -34,7 +35,22 @@
 	return fault
 }
 
+// Dialer returns how connections are set up that last.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control}
+}
+
+// Accepts reports whether an address takes a connection in a time.
+func Accepts(ctx context.Context, address string, timeout time.Duration) bool {
+	conn, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // ListenConfig returns how a node listens.
 func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{Control: Control, KeepAliveConfig: KeepAlive}
+	return &net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
 }
--- a/wharfnode/internal/wharfhop/client.go
+++ b/wharfnode/internal/wharfhop/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -107,9 +106,7 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
-			DialContext: (&net.Dialer{
-				Timeout: dialTimeout, KeepAliveConfig: wharfsocket.KeepAlive, Control: wharfsocket.Control,
-			}).DialContext,
+			DialContext:         wharfsocket.Dialer(dialTimeout).DialContext,
 		}
 	})
 	return c.transport
--- a/wharfnode/internal/wharfsilence/watch.go
+++ b/wharfnode/internal/wharfsilence/watch.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfrouting"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharftimer"
 )
 
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tryTime)
 	defer cancel()
 	for failed := 0; ctx.Err() == nil; {
-		if w.accepts(ctx) {
+		if wharfsocket.Accepts(ctx, w.Address, dialTimeout) {
 			w.settle(true)
 			return
 		}
@@ -134,15 +134,6 @@
 	w.settle(false)
 }
 
-func (w *Watch) accepts(ctx context.Context) bool {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", w.Address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 // fall ends the calls under way. It is false if an answer came in the meantime.
 func (w *Watch) fall(before uint64) bool {
 	w.mu.Lock()
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
 	"strconv"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
@@ -80,12 +80,7 @@
 
 // accepts reports whether the target takes new connections.
 func (s *Server) accepts(c *call) bool {
-	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(c.ctx, "tcp", c.target.address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
+	return wharfsocket.Accepts(c.ctx, c.target.address, probeTimeout)
 }
 
 // blame makes the requests in flight suspects, and tells the other nodes of
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -26,6 +26,9 @@
 	// and such a request can't be tried again. It is below the shortest times after
 	// which servers and what lies before them are known to forget, 300 ms.
 	onceIdleTimeout = 200 * time.Millisecond
+	// targetDialTimeout bounds the set-up of a connection to a target, which is on
+	// the own VM.
+	targetDialTimeout = time.Second
 	// maxIdleConns is the number of idle connections kept to a target.
 	maxIdleConns = 256
 )
@@ -52,7 +55,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idle,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
 	}
 }
 
