Read reasons, hosts and refusals in one place each

Review: what a reason says of a target stood twice with small variations, for a refusal and for an answer broken off; the missing reasons of the latter never come there. Behaviour as before.

--- a/wharfnode/internal/wharfentry/attempt.go
+++ b/wharfnode/internal/wharfentry/attempt.go
@@ -109,23 +109,29 @@
 		arrived: head.GetArrived(),
 		retried: head.GetRetried(),
 		report:  reportOf(head),
-		routing: wharfrouting.Refused,
 		outcome: wharfoutcome.Outcome{
 			Kind:       wharfoutcome.Kind(head.GetOutcome()),
 			Reason:     wharfoutcome.Reason(head.GetReason()),
 			RetryAfter: time.Duration(head.GetRetryAfterMs()) * time.Millisecond,
 		},
 	}
-	switch result.outcome.Reason {
+	result.routing = routingOf(result.outcome.Reason, wharfrouting.Refused)
+	result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
+	return result
+}
+
+// routingOf returns what a reason says of the target, or else what is given.
+func routingOf(reason wharfoutcome.Reason, otherwise wharfrouting.Result) wharfrouting.Result {
+	switch reason {
 	case wharfoutcome.ReasonTargetCrashed, wharfoutcome.ReasonUnreachable:
-		result.routing = wharfrouting.TargetFailed
+		return wharfrouting.TargetFailed
 	case wharfoutcome.ReasonNoTarget, wharfoutcome.ReasonTargetSilent:
-		result.routing = wharfrouting.Unreachable
+		return wharfrouting.Unreachable
 	case wharfoutcome.ReasonAnswerLost, wharfoutcome.ReasonAnswerIncomplete:
-		result.routing = wharfrouting.Lost
+		return wharfrouting.Lost
+	default:
+		return otherwise
 	}
-	result.attemptsLeft = int(frame.GetEnd().GetAttemptsLeft())
-	return result
 }
 
 func reportOf(head *wharfwire.AnswerHead) *wharfrouting.Report {
@@ -186,16 +192,10 @@
 // brokenOff is the result of an attempt whose answer the target's node ended
 // early, for a reason.
 func brokenOff(reason wharfoutcome.Reason) attemptResult {
-	result := attemptResult{sent: true, arrived: true, lost: true, routing: wharfrouting.Withdrawn, outcome: wharfoutcome.Uncertain(reason)}
-	switch reason {
-	case wharfoutcome.ReasonTargetCrashed:
-		result.routing = wharfrouting.TargetFailed
-	case wharfoutcome.ReasonTargetSilent:
-		result.routing = wharfrouting.Unreachable
-	case wharfoutcome.ReasonAnswerLost, wharfoutcome.ReasonAnswerIncomplete:
-		result.routing = wharfrouting.Lost
+	return attemptResult{
+		sent: true, arrived: true, lost: true,
+		routing: routingOf(reason, wharfrouting.Withdrawn), outcome: wharfoutcome.Uncertain(reason),
 	}
-	return result
 }
 
 // resolveTimeout bounds the question about a lost answer.
--- a/wharfnode/internal/wharfentry/route.go
+++ b/wharfnode/internal/wharfentry/route.go
@@ -1,7 +1,6 @@
 package wharfentry
 
 import (
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -9,6 +8,7 @@
 	"ragwortwharf.dev/wharf/wharfconfig"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfroute"
+	"ragwortwharf.dev/wharfnode/wharfdialect"
 )
 
 const (
@@ -27,7 +27,7 @@
 	if table == nil {
 		return wharfoutcome.ReasonNotConfigured
 	}
-	r := table.Find(hostOf(c.r.Host), c.r.URL.EscapedPath())
+	r := table.Find(wharfdialect.HostOf(c.r.Host), c.r.URL.EscapedPath())
 	if r == nil {
 		return wharfoutcome.ReasonUnknownRoute
 	}
@@ -36,14 +36,6 @@
 	return wharfoutcome.ReasonNone
 }
 
-// hostOf returns a host without its port.
-func hostOf(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 func policyOf(r *wharfroute.Route) wharfconfig.Policy {
 	return wharfconfig.Policy{
 		Request:    r.Name,
--- a/wharfnode/wharfdialect/dialect.go
+++ b/wharfnode/wharfdialect/dialect.go
@@ -1,6 +1,8 @@
 package wharfdialect
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -70,3 +72,19 @@
 	Callers
 	Targets
 }
+
+// HostOf returns a host without its port.
+func HostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// WriteOutcome ends an answer without a target: its status, and the outcome as a
+// line of text.
+func WriteOutcome(w http.ResponseWriter, status int, o wharfoutcome.Outcome) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, o.Kind.String()+": "+string(o.Reason)+"\n")
+}
--- a/wharfnode/wharfdialect/own.go
+++ b/wharfnode/wharfdialect/own.go
@@ -1,7 +1,6 @@
 package wharfdialect
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -50,10 +49,7 @@
 	if name := r.Header.Get(wharfwire.HeaderService); name != "" {
 		return name
 	}
-	host := r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
+	host := HostOf(r.Host)
 	if net.ParseIP(host) != nil || host == "localhost" {
 		return ""
 	}
@@ -69,9 +65,7 @@
 		h.Set(wharfwire.HeaderRetryAfter, o.RetryAfterSeconds())
 		h.Set(wharfwire.HeaderRetryAfterMs, strconv.FormatInt(o.RetryAfter.Milliseconds(), 10))
 	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(o.HTTPStatus())
-	_, _ = io.WriteString(w, o.Kind.String()+": "+string(o.Reason)+"\n")
+	WriteOutcome(w, o.HTTPStatus(), o)
 }
 
 // Complete names the outcome.
