--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -12,19 +12,8 @@
 	queuePerSlot = 2
 	// minQueue is the least capacity of the queue.
 	minQueue = 8
-	// standingDelay is the least wait in a window that means a standing queue.
-	standingDelay = 20 * time.Millisecond
-	// judgeWindow is the least time between two decisions on queue and level;
-	// it grows with the time that a request holds its slot, up to a second.
-	judgeWindow    = 200 * time.Millisecond
-	maxJudgeWindow = time.Second
 	// latencyWeight smooths the latency that estimates are made from.
 	latencyWeight = 0.1
-	// drainWeight smooths the drain rate.
-	drainWeight = 0.3
-	// drainWindow is the time over which the drain rate is counted.
-	drainWindow = 200 * time.Millisecond
-
 	// luckyShare is the part of the usual latency in which a request can still end
 	// with some luck. It is tried where nobody else waits for the slot: late is
 	// better than never.
@@ -33,11 +22,6 @@
 	// round trips between failure domains. Who is refused later than this before
 	// the deadline doesn't hear that the request has not run.
 	answerMargin = 10 * time.Millisecond
-
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 10 * time.Second
-	// retryJitter is the share by which advice is spread.
-	retryJitter = 0.5
 )
 
 // Refusal ends a request that did not run.
@@ -197,20 +181,6 @@
 	return l
 }
 
-// RetryAfter advises a caller when a slot is likely, from the drain rate.
-func (g *Gate) RetryAfter() time.Duration {
-	advice := minRetryAfter
-	if g.drainRate > 0 {
-		seconds := float64(g.queue.len()+1) / g.drainRate
-		advice = time.Duration(seconds * float64(time.Second))
-	}
-	advice = min(max(advice, minRetryAfter), maxRetryAfter)
-	if g.cfg.Rand == nil {
-		return advice
-	}
-	return advice + time.Duration(g.cfg.Rand.Float64()*retryJitter*float64(advice))
-}
-
 func (g *Gate) observe(now time.Time, held time.Duration, s Sample) {
 	g.cfg.Limiter.Observe(now, s)
 	if s.Result != Answered {
@@ -222,71 +192,6 @@
 	g.measureDrain(now)
 }
 
-func (g *Gate) measureDrain(now time.Time) {
-	if g.drainStart.IsZero() {
-		g.drainStart = now
-		return
-	}
-	elapsed := now.Sub(g.drainStart)
-	if elapsed < drainWindow {
-		return
-	}
-	g.drainRate = smooth(g.drainRate, float64(g.drainCount)/elapsed.Seconds(), drainWeight)
-	g.drainStart = now
-	g.drainCount = 0
-}
-
-// maxIdleWindows bounds the windows that are made up for after a quiet time.
-const maxIdleWindows = 16
-
-// turn ends the windows in which the queue is judged. Windows without any
-// event were calm.
-func (g *Gate) turn(now time.Time) {
-	if g.windowStart.IsZero() {
-		g.windowStart = now
-	}
-	windows := int(now.Sub(g.windowStart) / g.window())
-	if windows == 0 {
-		return
-	}
-	g.judge()
-	for range min(windows-1, maxIdleWindows) {
-		g.judge()
-	}
-	g.windowStart = now
-}
-
-// judge decides whether the queue stands and moves the level.
-func (g *Gate) judge() {
-	if !g.waitSeen && g.queue.len() > 0 {
-		// Nothing left the queue in the window: everything waited longer.
-		g.shortestWait = g.window()
-	}
-	g.standing = g.shortestWait > standingDelay
-	if g.cfg.Levels {
-		g.level.Update(g.standing || g.refusedFull, g.capacity())
-	}
-	g.shortestWait = 0
-	g.waitSeen = false
-	g.refusedFull = false
-}
-
-// window returns the time between two decisions on queue and level.
-func (g *Gate) window() time.Duration {
-	hold := time.Duration(g.hold * float64(time.Second))
-	return min(max(hold, judgeWindow), maxJudgeWindow)
-}
-
-// capacity returns how many requests the target can finish in a window. It
-// follows from the limit and not from what was finished, which is less while
-// too little is admitted.
-func (g *Gate) capacity() float64 {
-	if g.hold == 0 {
-		return float64(g.cfg.Limiter.Limit())
-	}
-	return float64(g.cfg.Limiter.Limit()) / g.hold * g.window().Seconds()
-}
-
 // fill starts waiting requests while the limit allows.
 func (g *Gate) fill(now time.Time, fx *Effects) {
 	for g.queue.len() > 0 {
--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -282,7 +282,7 @@
 	if advice == 0 {
 		advice = defaultRetryAfter
 	}
-	return advice + time.Duration(rng.Float64()*float64(advice)/2)
+	return wharfadmission.SpreadAdvice(advice, rng.Float64())
 }
 
 // Ejected lists the targets that are left out at present.
--- a/wharfnode/internal/wharftarget/pressure.go
+++ b/wharfnode/internal/wharftarget/pressure.go
@@ -17,8 +17,6 @@
 	maxRetryAfter = 3 * time.Second
 	// sweepInterval is how often routes without requests are forgotten.
 	sweepInterval = 10 * time.Second
-	// retryAfterSpread spreads the advice, in parts of it.
-	retryAfterSpread = 0.5
 )
 
 // Pressure keeps what the calls of this node's targets meet. A node has one
@@ -87,5 +85,5 @@
 	share := p.state.Share(time.Now(), priority.Rank())
 	p.mu.Unlock()
 	advice := min(time.Duration(float64(leastRetryAfter)/share), maxRetryAfter)
-	return advice + time.Duration(rand.Float64()*retryAfterSpread*float64(advice))
+	return wharfadmission.SpreadAdvice(advice, rand.Float64())
 }
