Describe the load of a refused call once

Review: a call that ended without an answer took the lock of its target and the load twice, for the line of the log and for the answer. It is taken once now, and fields are gathered only for events that are written, as for served requests.

--- a/wharfnode/internal/wharfentry/explain.go
+++ b/wharfnode/internal/wharfentry/explain.go
@@ -35,6 +35,9 @@
 // explainUnserved writes the line of a request that ended without an answer,
 // with the versions of what decided it.
 func (e *Entry) explainUnserved(c *call, o wharfoutcome.Outcome) {
+	if !e.Log.Wants(wharfevents.RequestUnserved) {
+		return
+	}
 	state := e.View.State()
 	e.Log.Emit(wharfevents.RequestUnserved, append(e.fields(c),
 		wharfevents.Field{Name: "host", Value: c.r.Host},
@@ -50,6 +53,9 @@
 
 // explainAttempt writes the line of an attempt that brought no answer.
 func (e *Entry) explainAttempt(c *call, target wharfrouting.Target, r attemptResult) {
+	if !e.Log.Wants(wharfevents.AttemptFailed) {
+		return
+	}
 	e.Log.Emit(wharfevents.AttemptFailed, append(e.fields(c),
 		wharfevents.Field{Name: "target", Value: target.Address},
 		wharfevents.Field{Name: "node", Value: target.Node},
--- a/wharfnode/internal/wharftarget/answer.go
+++ b/wharfnode/internal/wharftarget/answer.go
@@ -22,11 +22,6 @@
 	return &wharfhop.BrokenError{Reason: reason}
 }
 
-// sendOutcome answers a call that has no answer of the target.
-func (s *Server) sendOutcome(c *call, o wharfoutcome.Outcome) error {
-	return s.sendWhole(c, s.answerHead(c, o), nil)
-}
-
 // sendWhole sends an answer that is at hand as one frame.
 func (s *Server) sendWhole(c *call, head *wharfwire.AnswerHead, body []byte) error {
 	var sum wharfwire.BodySum
@@ -62,8 +57,7 @@
 }
 
 // sendKept answers a resend with the answer of the first send.
-func (s *Server) sendKept(c *call) error {
-	head := s.answerHead(c, wharfoutcome.Done())
+func (s *Server) sendKept(c *call, head *wharfwire.AnswerHead) error {
 	head.Status = int32(c.replay.Status)
 	head.ContentLength = int64(len(c.replay.Body))
 	head.Headers = PackAnswer(c.replay).GetHeaders()
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -148,18 +148,22 @@
 			continue
 		}
 		s.Metrics.Dispatch(c.head.GetClass(), o)
-		s.explain(c, o)
+		head := s.answerHead(c, o)
+		s.explain(c, o, head.GetLoad())
 		if c.replay != nil {
-			return s.sendKept(c)
+			return s.sendKept(c, head)
 		}
-		return s.sendOutcome(c, o)
+		return s.sendWhole(c, head, nil)
 	}
 	return c.err
 }
 
 // explain writes the line of a call that ended without the target's answer, with
 // the load that decided it.
-func (s *Server) explain(c *call, o wharfoutcome.Outcome) {
+func (s *Server) explain(c *call, o wharfoutcome.Outcome, load *wharfwire.Load) {
+	if !s.Log.Wants(wharfevents.CallUnserved) {
+		return
+	}
 	fields := []wharfevents.Field{
 		{Name: "request", Value: c.head.GetRequestId()},
 		{Name: "service", Value: c.head.GetService()},
@@ -170,8 +174,7 @@
 		{Name: "arrived", Value: c.arrived},
 		{Name: "deadline-ms", Value: time.Until(c.deadline).Milliseconds()},
 	}
-	if c.target != nil {
-		load := c.target.load(s, c)
+	if load != nil {
 		fields = append(fields,
 			wharfevents.Field{Name: "target", Value: c.target.address},
 			wharfevents.Field{Name: "running", Value: load.GetInFlight()},
