Count members and services without listing them, and share newRand

Review: the number of services was that of a sorted list, made anew with each message that brings entries; the number of members was walked to in four places though NodesSeen gives it; a lock was taken for changes that a message didn't bring. Two copies of newRand and one spelled out are one, and slices.Equal compares shares. Behaviour as before.

--- a/wharf/wharfmember/table.go
+++ b/wharf/wharfmember/table.go
@@ -103,6 +103,11 @@
 	return slices.Sorted(maps.Keys(t.services))
 }
 
+// ServiceCount returns how many services some target announced.
+func (t *Table) ServiceCount() int {
+	return len(t.services)
+}
+
 // Serving returns the nodes that have a target of a service, in the order of
 // their ids.
 func (t *Table) Serving(service string) []Member {
--- a/wharf/wharfroute/spread.go
+++ b/wharf/wharfroute/spread.go
@@ -1,5 +1,7 @@
 package wharfroute
 
+import "slices"
+
 // Spread deals the requests of one route to its services in proportion to
 // their weights, evenly over any short run of requests. It isn't safe for
 // concurrent use; its owner holds a lock. The zero Spread is ready to use.
@@ -13,7 +15,7 @@
 	if len(r.Shares) == 1 {
 		return r.Shares[0].Service
 	}
-	if !sameShares(s.shares, r.Shares) {
+	if !slices.Equal(s.shares, r.Shares) {
 		s.shares, s.credit = r.Shares, make([]int, len(r.Shares))
 	}
 	// Each service earns its weight with each request; the one that is owed
@@ -31,15 +33,3 @@
 	s.credit[best] -= r.Weight()
 	return s.shares[best].Service
 }
-
-func sameShares(a, b []Share) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/wharfnode/internal/wharfadmin/api.go
+++ b/wharfnode/internal/wharfadmin/api.go
@@ -165,7 +165,7 @@
 	if fresh := a.View.Fresh(); !fresh.IsZero() {
 		s.StateAge = time.Since(fresh).Seconds()
 	}
-	a.View.Members(func(t *wharfmember.Table) { s.Members = t.Len() })
+	s.Members = a.View.NodesSeen()
 	reply(w, http.StatusOK, s)
 }
 
--- a/wharfnode/internal/wharfentry/entry.go
+++ b/wharfnode/internal/wharfentry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -137,8 +136,3 @@
 func (e *Entry) Calls() int {
 	return int(e.calls.Load())
 }
-
-// newRand returns a source of randomness for one decision.
-func newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
--- a/wharfnode/internal/wharfentry/routes.go
+++ b/wharfnode/internal/wharfentry/routes.go
@@ -8,6 +8,7 @@
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
 )
 
@@ -59,7 +60,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh(v)
-	now, rng := time.Now(), newRand()
+	now, rng := time.Now(), wharfrandom.New()
 	target, reason := r.balancer.Pick(now, rng, q)
 	if reason == wharfoutcome.ReasonNone {
 		return target, wharfoutcome.Outcome{}
--- a/wharfnode/internal/wharfentry/send.go
+++ b/wharfnode/internal/wharfentry/send.go
@@ -8,6 +8,7 @@
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharftimer"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
 )
 
 // plainTries is the number of tries at each hop of the baseline variant.
@@ -217,7 +218,7 @@
 	if s.entry.Variant.Retries == "plain" {
 		return s.call.ctx.Err() == nil
 	}
-	wait := wharfbudget.Backoff(newRand(), s.call.tries)
+	wait := wharfbudget.Backoff(wharfrandom.New(), s.call.tries)
 	if time.Now().Add(wait).After(s.call.deadline) {
 		return false
 	}
--- a/wharfnode/internal/wharfmesh/exchange.go
+++ b/wharfnode/internal/wharfmesh/exchange.go
@@ -11,6 +11,7 @@
 	"ragwortwharf.dev/wharf/wharfstate"
 	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
@@ -77,7 +78,7 @@
 }
 
 func (m *Mesh) suspicions(now time.Time) []*wharfwire.Suspicion {
-	return wharftarget.PackSuspicions(now, m.Quarantine.Sample(now, newRand(), maxSuspicions))
+	return wharftarget.PackSuspicions(now, m.Quarantine.Sample(now, wharfrandom.New(), maxSuspicions))
 }
 
 // syncRequest builds a message that carries entries, given the digests of the
@@ -89,7 +90,7 @@
 	m.View.Members(func(t *wharfmember.Table) {
 		r.MembersRoot = t.Digests().Root()
 		r.Buckets = append([]uint64(nil), t.Digests()[:]...)
-		r.Members = packMembers(t.Differing(digests(partner), newRand().IntN(wharfmember.Buckets), maxEntries))
+		r.Members = packMembers(t.Differing(digests(partner), wharfrandom.New().IntN(wharfmember.Buckets), maxEntries))
 	})
 	return r
 }
@@ -124,7 +125,7 @@
 func (m *Mesh) introduction() *wharfwire.ExchangeResponse {
 	response := &wharfwire.ExchangeResponse{Members: []*wharfwire.Member{packMember(m.View.SelfMember())}}
 	m.View.Members(func(t *wharfmember.Table) {
-		some := t.Differing(&wharfmember.Digests{}, newRand().IntN(wharfmember.Buckets), introducedEntries)
+		some := t.Differing(&wharfmember.Digests{}, wharfrandom.New().IntN(wharfmember.Buckets), introducedEntries)
 		response.Members = append(response.Members, packMembers(some)...)
 	})
 	return response
@@ -154,7 +155,7 @@
 		}
 		response.Buckets = append([]uint64(nil), t.Digests()[:]...)
 		if len(r.GetBuckets()) > 0 {
-			response.Members = packMembers(t.Differing(digests(r.GetBuckets()), newRand().IntN(wharfmember.Buckets), maxEntries))
+			response.Members = packMembers(t.Differing(digests(r.GetBuckets()), wharfrandom.New().IntN(wharfmember.Buckets), maxEntries))
 		}
 	})
 }
@@ -209,9 +210,11 @@
 			wharfevents.Field{Name: "node", Value: n.Node},
 			wharfevents.Field{Name: "state", Value: n.State.String()})
 	}
-	m.mu.Lock()
-	m.departures.note(time.Now(), result.News)
-	m.mu.Unlock()
+	if len(result.News) > 0 {
+		m.mu.Lock()
+		m.departures.note(time.Now(), result.News)
+		m.mu.Unlock()
+	}
 	if len(result.News) > 0 && len(result.News) <= maxRumours {
 		m.note(result.News)
 		m.Hurry()
--- a/wharfnode/internal/wharfmesh/follower.go
+++ b/wharfnode/internal/wharfmesh/follower.go
@@ -67,8 +67,7 @@
 	if time.Since(f.mesh.View.Fresh()) < staleAfter {
 		return false
 	}
-	size := 0
-	f.mesh.View.Members(func(t *wharfmember.Table) { size = t.Len() })
+	size := f.mesh.View.NodesSeen()
 	// Of n nodes that are all stale, about one reads in each interval.
 	chance := float64(roleInterval) / (float64(staleShare) * float64(max(size, 1)))
 	return f.rng.Float64() < chance
--- a/wharfnode/internal/wharfmesh/mesh.go
+++ b/wharfnode/internal/wharfmesh/mesh.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
 	"ragwortwharf.dev/wharfnode/wharfevents"
@@ -84,9 +84,9 @@
 func (m *Mesh) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	loops := []func(context.Context){
-		(&rounds{mesh: m, rng: newRand()}).run,
-		(&follower{mesh: m, rng: newRand()}).run,
-		(&registration{mesh: m, rng: newRand()}).run,
+		(&rounds{mesh: m, rng: wharfrandom.New()}).run,
+		(&follower{mesh: m, rng: wharfrandom.New()}).run,
+		(&registration{mesh: m, rng: wharfrandom.New()}).run,
 		(&expiry{mesh: m}).run,
 		(&pauses{mesh: m}).run,
 		m.audit.writer(m).run,
@@ -108,7 +108,3 @@
 	default:
 	}
 }
-
-func newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
--- a/wharfnode/internal/wharfmesh/revisit.go
+++ b/wharfnode/internal/wharfmesh/revisit.go
@@ -59,8 +59,7 @@
 
 // revisits returns the ended nodes that are to be asked in this round.
 func (r *rounds) revisits() []wharfmember.Member {
-	nodes := 0
-	r.mesh.View.Members(func(t *wharfmember.Table) { nodes = t.Len() })
+	nodes := r.mesh.View.NodesSeen()
 	r.mesh.mu.Lock()
 	defer r.mesh.mu.Unlock()
 	return r.mesh.departures.due(time.Now(), r.rng, nodes)
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -1,7 +1,6 @@
 package wharftarget
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,6 +8,7 @@
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
 	"ragwortwharf.dev/wharfnode/internal/wharfsilence"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 	"ragwortwharf.dev/wharfnode/wharfsettings"
@@ -87,7 +87,7 @@
 		Limiter: g.limiter(slots),
 		MaxWait: g.variant.MaxWait,
 		Levels:  g.variant.Levels && g.variant.Limiter != "off",
-		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand:    wharfrandom.New(),
 	}
 	switch g.variant.QueueOrder {
 	case "fifo":
--- a/wharfnode/internal/wharfview/members.go
+++ b/wharfnode/internal/wharfview/members.go
@@ -31,7 +31,7 @@
 	m.Version++
 	v.members.Merge(m)
 	v.self.Store(&m)
-	v.services.Store(int64(len(v.members.Services())))
+	v.services.Store(int64(v.members.ServiceCount()))
 	v.membersMu.Unlock()
 	v.notify()
 }
@@ -60,7 +60,7 @@
 			result.News = append(result.News, m)
 		}
 	}
-	v.services.Store(int64(len(v.members.Services())))
+	v.services.Store(int64(v.members.ServiceCount()))
 	v.membersMu.Unlock()
 	if len(result.News) > 0 {
 		v.notify()
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -156,11 +156,7 @@
 	if n.log.Dropped != nil {
 		metrics.Gauge("wharf_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
 	}
-	metrics.Gauge("wharf_members", func() float64 {
-		members := 0
-		n.view.Members(func(t *wharfmember.Table) { members = t.Len() })
-		return float64(members)
-	})
+	metrics.Gauge("wharf_members", func() float64 { return float64(n.view.NodesSeen()) })
 }
 
 func newHTTPServer(h http.Handler) *http.Server {
