--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -67,6 +67,9 @@
 	audit auditTrail
 	// urgent triggers a gossip round at once. It buffers one request.
 	urgent chan struct{}
+	// registered is closed after the first attempt to write the directory entry of
+	// this node, and joined after the first attempt to join the other nodes.
+	registered, joined chan struct{}
 	// releasing is set when a planned stop begins to release the ownership of
 	// keys.
 	releasing atomic.Bool
@@ -83,6 +86,7 @@
 func (a *Agent) Prepare() {
 	a.pool = pond.NewPool(workers)
 	a.urgent = make(chan struct{}, 1)
+	a.registered, a.joined = make(chan struct{}), make(chan struct{})
 	a.audit.queue = make(chan AuditEntry, auditQueue)
 }
 
--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -25,14 +25,20 @@
 	// roleInterval is how often a node that doesn't read the log checks whether
 	// it should.
 	roleInterval = 500 * time.Millisecond
-	// staleAfter is the age of the last confirmation at which the state becomes
-	// stale. A node with stale state reads the log itself, after a random wait
-	// that grows with the number of nodes, so that they don't all read at once.
-	staleAfter = 5 * time.Second
+	// staleMargin is how much older than one read of a reader the last
+	// confirmation must be for the state to become stale. It covers the gossip
+	// rounds from a reader to this node and the call timeout that confirm adds at
+	// each. A node with stale state reads the log itself, after a random wait that
+	// grows with the number of nodes, so that they don't all read at once.
+	staleMargin = 3 * time.Second
+	// settleTime is how long a node that has joined waits before it decides
+	// whether it is a reader. Gossip between nodes that started together has
+	// usually spread all entries by then.
+	settleTime = 300 * time.Millisecond
 	// staleReadInterval is the interval in which about one of the known nodes
 	// starts to read while all of them are stale. The mean wait of one node is
 	// this interval times the number of known nodes.
-	staleReadInterval = time.Second
+	staleReadInterval = 250 * time.Millisecond
 )
 
 // follower reads the platform's log if this node is a reader or if its state is
@@ -55,6 +61,9 @@
 }
 
 func (f *follower) run(ctx context.Context) {
+	if !f.settle(ctx) {
+		return
+	}
 	for ctx.Err() == nil {
 		if !f.due() {
 			if !wharftimer.Sleep(ctx, roleInterval) {
@@ -68,12 +77,23 @@
 	}
 }
 
+// settle waits until the members are known. A node that found no other node reads
+// at once. It returns false if the context ends first.
+func (f *follower) settle(ctx context.Context) bool {
+	select {
+	case <-f.agent.joined:
+	case <-ctx.Done():
+		return false
+	}
+	return f.agent.View.KnownNodes() == 1 || wharftimer.Sleep(ctx, settleTime)
+}
+
 // due reports whether this node should read now.
 func (f *follower) due() bool {
 	if f.isReader() {
 		return true
 	}
-	if time.Since(f.agent.View.ConfirmedAt()) < staleAfter {
+	if time.Since(f.agent.View.ConfirmedAt()) < f.agent.PollWait+staleMargin {
 		return false
 	}
 	size := f.agent.View.KnownNodes()
@@ -89,14 +109,14 @@
 	v := f.agent.View
 	if version := v.Version(); version != f.version {
 		f.version = version
-		f.reader = slices.Contains(f.agent.readers(), v.Node())
+		f.reader = slices.Contains(f.agent.ReaderNodes(), v.Node())
 	}
 	return f.reader
 }
 
-// readers returns the nodes that read the log for this failure domain: the first
+// ReaderNodes returns the nodes that read the log for this failure domain: the first
 // alive nodes in the order of a hash.
-func (a *Agent) readers() []string {
+func (a *Agent) ReaderNodes() []string {
 	var first []string
 	domain := a.View.Locality().FailureDomain
 	a.View.Members(func(t *wharfmember.Table) {
@@ -137,11 +157,21 @@
 	}
 	f.applyBatch(batch)
 	if v.State().Offset()+1 >= batch.Next {
-		v.Confirm(batch.Next-1, requestedAt)
+		v.Confirm(batch.Next-1, f.confirmedAt(requestedAt, batch))
 	}
 	return nil
 }
 
+// confirmedAt returns a time at which the log still ended where the batch ends. The
+// log responds without records only after it has waited for them.
+func (f *follower) confirmedAt(requestedAt time.Time, batch wharfstream.Batch) time.Time {
+	waited := requestedAt.Add(f.agent.PollWait)
+	if len(batch.Records) > 0 || time.Now().Before(waited) {
+		return requestedAt
+	}
+	return waited
+}
+
 // applyBatch applies the records of a batch. After a gap it collects the records
 // until one of them is a snapshot that covers the gap.
 func (f *follower) applyBatch(batch wharfstream.Batch) {
--- a/wharfnode/internal/wharfcluster/registration.go
+++ b/wharfnode/internal/wharfcluster/registration.go
@@ -33,19 +33,35 @@
 }
 
 func (r *registration) run(ctx context.Context) {
-	for pause := minEnterPause; !r.enter(ctx); pause = min(2*pause, maxEnterPause) {
-		if !wharftimer.Sleep(ctx, pause/2+time.Duration(r.rng.Int64N(int64(pause)))) {
+	entered := r.enter(ctx)
+	close(r.agent.registered)
+	if !entered {
+		if !r.retryEnter(ctx) {
 			return
 		}
+		// The nodes that joined before this entry was written may not have found
+		// each other.
+		r.agent.join(ctx)
 	}
-	// Nodes that start together may have found the directory empty.
-	r.agent.join(ctx)
 	r.removed = map[string]uint64{}
 	for wharftimer.Sleep(ctx, sweepInterval) {
 		r.sweep(ctx)
 	}
 }
 
+// retryEnter repeats enter until it succeeds. It returns false if the context ends
+// first.
+func (r *registration) retryEnter(ctx context.Context) bool {
+	for pause := minEnterPause; ; pause = min(2*pause, maxEnterPause) {
+		if !wharftimer.Sleep(ctx, pause/2+time.Duration(r.rng.Int64N(int64(pause)))) {
+			return false
+		}
+		if r.enter(ctx) {
+			return true
+		}
+	}
+}
+
 // enter writes the entry of this node. It reports whether that succeeded.
 func (r *registration) enter(ctx context.Context) bool {
 	err := r.agent.Directory.Register(ctx, r.agent.View.SelfMember())
--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -44,7 +44,15 @@
 }
 
 func (r *rounds) run(ctx context.Context) {
+	// Each node writes its entry before it reads those of the others. So of two
+	// nodes that start together, at least one finds the other.
+	select {
+	case <-r.agent.registered:
+	case <-ctx.Done():
+		return
+	}
 	r.agent.join(ctx)
+	close(r.agent.joined)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/wharfnode/internal/wharfcluster/snapshot.go
+++ b/wharfnode/internal/wharfcluster/snapshot.go
@@ -44,7 +44,7 @@
 	if v.State().Offset() <= s.seen {
 		return false
 	}
-	position := slices.Index(s.agent.readers(), v.Node())
+	position := slices.Index(s.agent.ReaderNodes(), v.Node())
 	if position < 0 {
 		return false
 	}
