Wait briefly past the deadline for the outcome of an attempt

Cause: at the deadline of a request the sender gave up at the same moment at which the target's node reported that the request had only waited. If that node was busy, its report came too late, and the caller got "unknown" (504) for a request that had reached no target and could have been told so.

Ruled out: an earlier refusal at the target's node, which would also refuse requests that can still finish.

Now the sender waits up to 150 ms more for the report, less than the 250 ms after which callers count a request as held. The request isn't retried after its deadline.

Before, after: TestOutcomeAfterDeadline, whose target's node reports 50 ms late: unknown, not-run. A node that doesn't report still leads to "unknown", within 250 ms of the deadline.

--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -19,6 +19,12 @@
 	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
+// outcomeGrace is how long after the deadline a node waits for the outcome of an attempt
+// that it has sent. Only the target's node knows whether the request has run, and it
+// responds at the deadline. The grace covers a round trip and the delays of two busy
+// processes, and is below the 250 ms after which callers count a request as held.
+const outcomeGrace = 150 * time.Millisecond
+
 // consulter asks a node for its entry of a key. The node closes the key if it has
 // dispatched no request with it.
 type consulter interface {
@@ -127,7 +133,7 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline.Add(outcomeGrace))
 	defer cancel()
 	c.ctx = ctx
 	p.send(c)
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -189,7 +189,7 @@
 // from the retry budget and the repeat limit.
 func (s *attemptLoop) mayRetry(request wharfrouting.Request) bool {
 	c := s.call
-	if c.ctx.Err() != nil || s.proxy.Variant.Retries == "off" {
+	if c.ctx.Err() != nil || !time.Now().Before(c.deadline) || s.proxy.Variant.Retries == "off" {
 		return false
 	}
 	if s.proxy.Variant.Retries == "plain" {
