Read soon after a start at which no node has the state

Now a node waits 100 ms, and a node without any state reads at random times, together 40 reads a second whatever the number of nodes, until it has the state.

Ruled out: a read of each node at its start, which grows with the nodes.

--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -32,13 +32,18 @@
 	// grows with the number of nodes, so that they don't all read at once.
 	staleMargin = 3 * time.Second
 	// settleTime is how long a node that has joined waits before it decides
-	// whether it is a reader. Gossip between nodes that started together has
-	// usually spread all entries by then.
-	settleTime = 300 * time.Millisecond
+	// whether it is a reader. Gossip has spread most entries by then, and the state
+	// if another node has it.
+	settleTime = 100 * time.Millisecond
 	// staleReadInterval is the interval in which about one of the known nodes
 	// starts to read while all of them are stale. The mean wait of one node is
 	// this interval times the number of known nodes.
 	staleReadInterval = 250 * time.Millisecond
+	// emptyInterval and emptyReadInterval are the same as roleInterval and
+	// staleReadInterval for nodes without any state. Such nodes can't serve, and
+	// after a restart of all nodes none gets the state from another.
+	emptyInterval     = 50 * time.Millisecond
+	emptyReadInterval = 25 * time.Millisecond
 )
 
 // follower reads the platform's log if this node is a reader or if its state is
@@ -66,7 +71,7 @@
 	}
 	for ctx.Err() == nil {
 		if !f.due() {
-			if !wharftimer.Sleep(ctx, roleInterval) {
+			if !wharftimer.Sleep(ctx, f.interval()) {
 				return
 			}
 			continue
@@ -97,11 +102,28 @@
 		return false
 	}
 	size := f.agent.View.KnownNodes()
-	// Of n nodes that are all stale, about one reads in each staleReadInterval.
-	chance := float64(roleInterval) / (float64(staleReadInterval) * float64(max(size, 1)))
+	readInterval := staleReadInterval
+	if f.empty() {
+		readInterval = emptyReadInterval
+	}
+	// Of n nodes that are all stale, about one reads in each readInterval.
+	chance := float64(f.interval()) / (float64(readInterval) * float64(max(size, 1)))
 	return f.rng.Float64() < chance
 }
 
+// empty reports whether this node has no state yet.
+func (f *follower) empty() bool {
+	return f.agent.View.State().Offset() == 0
+}
+
+// interval returns the time between two checks whether this node should read.
+func (f *follower) interval() time.Duration {
+	if f.empty() {
+		return emptyInterval
+	}
+	return roleInterval
+}
+
 // isReader reports whether this node is a reader of its failure domain. Nodes may
 // disagree on the readers without harm: too many readers cost a few reads, and
 // without any reader the state becomes stale, so that other nodes read the log.
