Send requests to reachable targets during a partition

An attempt to a node that can't be reached was counted against the retry budget, so that a few seconds used it up, and then the first unreachable target was the last. And once more than half of the targets were ejected, ejection was ignored, so that most attempts went to unreachable nodes again.

Now an attempt that reached nobody, because the node can't be reached, the target is unresponsive, gone or leaving, doesn't count against the retry budget; the attempts of the request still bound it. If most targets are ejected, those whose nodes are unreachable stay ejected as long as there are others.

--- a/wharf/wharfbudget/retry.go
+++ b/wharf/wharfbudget/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
@@ -47,6 +48,22 @@
 	return f.Outcome.Kind == wharfoutcome.NotRun || f.Idempotent
 }
 
+// misroutedReasons lists the reasons of refusals that say nothing about the load of the
+// service, only that the target that was chosen can't be used.
+var misroutedReasons = []wharfoutcome.Reason{
+	wharfoutcome.ReasonUnreachable,
+	wharfoutcome.ReasonTargetUnresponsive,
+	wharfoutcome.ReasonNoTarget,
+	wharfoutcome.ReasonLeaving,
+}
+
+// Misrouted reports whether an attempt reached no target because the chosen one can't be
+// used. Another attempt then adds no load to the service, so that the retry budget
+// doesn't have to limit it; the attempts of the request still do.
+func Misrouted(o wharfoutcome.Outcome) bool {
+	return o.Kind == wharfoutcome.NotRun && slices.Contains(misroutedReasons, o.Reason)
+}
+
 const (
 	backoffBase = 5 * time.Millisecond
 	backoffMax  = 200 * time.Millisecond
--- a/wharf/wharfbudget/retry_test.go
+++ b/wharf/wharfbudget/retry_test.go
@@ -36,6 +36,29 @@
 	}
 }
 
+// TestMisrouted checks that only refusals that say nothing about the load of the service
+// are exempt from the retry budget.
+func TestMisrouted(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome wharfoutcome.Outcome
+		want    bool
+	}{
+		{"node unreachable", wharfoutcome.Refuse(wharfoutcome.ReasonUnreachable), true},
+		{"target unresponsive", wharfoutcome.Refuse(wharfoutcome.ReasonTargetUnresponsive), true},
+		{"target of another service", wharfoutcome.Refuse(wharfoutcome.ReasonNoTarget), true},
+		{"leaving", wharfoutcome.Refuse(wharfoutcome.ReasonLeaving), true},
+		{"overload", wharfoutcome.Refuse(wharfoutcome.ReasonOverload), false},
+		{"overload downstream", wharfoutcome.Refuse(wharfoutcome.ReasonDownstreamOverload), false},
+		{"may have run on an unresponsive target", wharfoutcome.Uncertain(wharfoutcome.ReasonTargetUnresponsive), false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(Misrouted(tc.outcome), tc.want)
+		})
+	}
+}
+
 func TestBackoffIsBounded(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for n := 1; n < 50; n++ {
--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -41,6 +41,8 @@
 	locality Locality
 	states   []*targetState
 	levels   []routeLevel
+	// available, reachable and all are the buffers of candidates.
+	available, reachable, all []*targetState
 }
 
 // routeLevel is the admission level that a target last reported for a route.
@@ -158,23 +160,37 @@
 }
 
 // candidates returns the targets that the request may be sent to: those that are
-// not leaving, not tried yet and not ejected. It includes ejected targets for a
-// pinned node and in panic mode.
+// not leaving, not tried yet and not ejected. For a pinned node it includes ejected
+// targets, and in panic mode those that were not ejected as unreachable, unless all
+// were. The slice is valid until the next call.
 func (b *Balancer) candidates(now time.Time, r Request) []*targetState {
-	var available, all []*targetState
+	available, reachable, all := b.available[:0], b.reachable[:0], b.all[:0]
 	for _, s := range b.states {
 		if s.Leaving || slices.Contains(r.Tried, s.Address) || r.PinnedNode != "" && s.Node != r.PinnedNode {
 			continue
 		}
 		all = append(all, s)
-		if !s.ejected(now) {
+		ejected := s.ejected(now)
+		if !ejected {
 			available = append(available, s)
 		}
+		if !ejected || !s.unreachable {
+			reachable = append(reachable, s)
+		}
 	}
-	if r.PinnedNode != "" || b.inPanicMode(now) {
+	b.available, b.reachable, b.all = available, reachable, all
+	switch {
+	case r.PinnedNode != "":
+		return all
+	case !b.inPanicMode(now):
+		return available
+	case len(reachable) > 0:
+		// The sender may be partitioned from the other targets. A request to one of
+		// them can only fail, while these refuse what is too much for them.
+		return reachable
+	default:
 		return all
 	}
-	return available
 }
 
 // inPanicMode reports whether the share of ejected targets is above
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -122,6 +122,8 @@
 	report     LoadReport
 	reportedAt time.Time
 
+	// unreachable is true if the last attempt found the target's node unreachable.
+	unreachable  bool
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -189,6 +191,9 @@
 
 // observe records the result of one attempt.
 func (s *targetState) observe(now time.Time, result Result, latency time.Duration) {
+	if result != Cancelled {
+		s.unreachable = result == Unreachable
+	}
 	switch result {
 	case Responded:
 		s.failures, s.ejections = 0, 0
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -213,7 +213,7 @@
 		Suspected:     reason == wharfoutcome.ReasonTargetCrashed || s.suspected(),
 		NoAlternative: reason == wharfoutcome.ReasonOverload && s.service.noAlternative(request),
 	}
-	return wharfbudget.MayRetry(f) && s.proxy.retryBudget.Allow() && s.mayRepeat()
+	return wharfbudget.MayRetry(f) && (wharfbudget.Misrouted(s.last.outcome) || s.proxy.retryBudget.Allow()) && s.mayRepeat()
 }
 
 // mayRepeat takes a repeat from the limit if a target may have received the
--- a/wharfnode/wharfserver/attempt_test.go
+++ b/wharfnode/wharfserver/attempt_test.go
@@ -116,3 +116,40 @@
 		Targets: []wharfmember.Target{{Service: "reads", Address: "127.0.0.1:1", Slots: 1}},
 	}})
 }
+
+// TestUnreachableNodesSpendNoRetryBudget sends more requests at once than the retry
+// budget allows retries, while two of three nodes are unreachable. No request may fail:
+// an attempt that was not sent adds no load.
+func TestUnreachableNodesSpendNoRetryBudget(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster(t).startNode("domain-a")
+	n.mergeFakePeer(t, "reachable", respondingNode{})
+	for _, name := range []string{"lost-1", "lost-2"} {
+		n.view.Merge([]wharfmember.Member{{
+			Node: "domain-a/" + name, Incarnation: 1, Version: 1, Address: ports.Address(t), FailureDomain: "domain-a", Region: "r",
+			Targets: []wharfmember.Target{{Service: "reads", Address: name, Slots: 1}},
+		}})
+	}
+	const requests = 60
+	replies := make(chan reply)
+	for range requests {
+		go func() { replies <- n.send(request{service: "reads"}) }()
+	}
+	for range requests {
+		is.Equal((<-replies).status, http.StatusOK)
+	}
+}
+
+// respondingNode serves every call with a short response.
+type respondingNode struct{}
+
+func (respondingNode) Call(stream wharftransport.ServerStream) error {
+	frame, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	return stream.Send(&wharfwire.AnswerFrame{
+		Head: &wharfwire.AnswerHead{AttemptId: frame.GetHead().GetAttemptId(), Outcome: uint32(wharfoutcome.Completed), Status: http.StatusOK},
+		End:  &wharfwire.AnswerEnd{Body: new(wharfwire.BodySum).End()},
+	})
+}
