Take a new target to have the usual latency

Cause: the cost of a target without a measured latency lacked that factor, so it was far above the cost of the measured ones, and a target that joined a service of 20 got its first request only if all random candidates were that target.

Before, after: TestNewTargetGetsItsShare, share of a new one of 20 targets after its slow start: below half of an equal share, above.

--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -41,6 +41,8 @@
 	locality Locality
 	states   []*targetState
 	levels   []routeLevel
+	// latency is the moving average of the latency of all targets, in seconds.
+	latency float64
 	// available, reachable and all are the buffers of candidates.
 	available, reachable, all []*targetState
 }
@@ -153,7 +155,7 @@
 
 // lowerCost returns the target with the lower cost, x if they are equal.
 func (b *Balancer) lowerCost(now time.Time, x, y *targetState) *targetState {
-	if y.cost(now, b.locality) < x.cost(now, b.locality) {
+	if y.cost(now, b.locality, b.latency) < x.cost(now, b.locality, b.latency) {
 		return y
 	}
 	return x
@@ -234,6 +236,9 @@
 	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.observe(now, result, latency)
+	if result == Responded {
+		b.latency = smoothLatency(b.latency, latency)
+	}
 	if report != nil {
 		s.report, s.reportedAt = *report, now
 		b.recordLevel(now, address, route, report.RouteLevel)
--- a/wharf/wharfrouting/partition_test.go
+++ b/wharf/wharfrouting/partition_test.go
@@ -38,7 +38,7 @@
 		b.Observe(now, target.Address, "", Responded, time.Millisecond, nil)
 		picked[target.Address] = true
 	}
-	is.True(len(picked) > 2)
+	is.Equal(len(picked), 10)
 }
 
 // TestPanicModeKeepsFailingTargets checks that targets that were ejected for failures
@@ -58,3 +58,31 @@
 	}
 	is.Equal(len(picked), 4)
 }
+
+// TestNewTargetGetsItsShare adds a target to a service whose other targets have known
+// latencies, as when a service is scaled out. After the slow start it must get at least
+// half of an equal share, although nothing is known of its latency.
+func TestNewTargetGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	const targets, requests = 20, 2000
+	b, rng := newTestBalancer(targets-1), newRand()
+	now := epoch
+	serve := func() string {
+		now = now.Add(time.Millisecond)
+		target, _ := b.Pick(now, rng, Request{})
+		b.Observe(now, target.Address, "", Responded, 100*time.Millisecond, nil)
+		return target.Address
+	}
+	for range requests {
+		serve()
+	}
+	b.SetTargets(now, someTargets(targets))
+	now = now.Add(slowStartWindow)
+	added := 0
+	for range requests {
+		if serve() == "t19" {
+			added++
+		}
+	}
+	is.True(added >= requests/targets/2)
+}
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -1,6 +1,7 @@
 package wharfrouting
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -150,16 +151,17 @@
 }
 
 // cost estimates the duration of a request at the target, in arbitrary units. The
-// locality p is that of the sender.
-func (s *targetState) cost(now time.Time, p Locality) float64 {
+// locality p is that of the sender. A target without a latency of its own is taken to
+// have the usual latency of the service.
+func (s *targetState) cost(now time.Time, p Locality, usualLatency float64) float64 {
 	limit, busy := s.Slots, s.inFlight
 	if s.hasCurrentReport(now) {
 		limit = s.report.Limit
 		busy = max(busy, s.report.Running+s.report.Queued)
 	}
 	cost := float64(busy+1)/float64(max(limit, 1)) + lossCost*s.lossRate(now)
-	if s.latency > 0 {
-		cost *= s.latency
+	if latency := cmp.Or(s.latency, usualLatency); latency > 0 {
+		cost *= latency
 	}
 	if age := now.Sub(s.addedAt); age < slowStartWindow {
 		cost *= 1 + (slowStartFactor-1)*(1-age.Seconds()/slowStartWindow.Seconds())
@@ -189,6 +191,15 @@
 	s.lossShare, s.lastLoss = rate+lossWeight*(1-rate), now
 }
 
+// smoothLatency returns a moving average, in seconds, after a new latency. An average
+// of zero is replaced.
+func smoothLatency(average float64, latency time.Duration) float64 {
+	if average == 0 {
+		return latency.Seconds()
+	}
+	return average + latencyWeight*(latency.Seconds()-average)
+}
+
 // observe records the result of one attempt.
 func (s *targetState) observe(now time.Time, result Result, latency time.Duration) {
 	if result != Cancelled {
@@ -199,10 +210,7 @@
 		s.failures, s.ejections = 0, 0
 		s.lossShare -= lossWeight * s.lossShare
 		s.ejectedUntil = time.Time{}
-		if s.latency == 0 {
-			s.latency = latency.Seconds()
-		}
-		s.latency += latencyWeight * (latency.Seconds() - s.latency)
+		s.latency = smoothLatency(s.latency, latency)
 	case Unreachable:
 		s.eject(now)
 	case ResponseLost:
