Admit what the deepest service can serve, by the rank of the client request

Cause: in a surge the first service let in more than the deepest can serve, and the calls of all requests had the rank of their own route there, so that bookings failed with reads and uploads that make no calls were refused with the calls of other requests.

Now a call gets rank, priority and deadline of the request that its target serves, if the ids tell which. The congested target's node computes the share of each rank that fits behind the more important ones, responses carry it upstream, and the first node admits that share. Requests of a route that never makes calls are not rejected for a queue downstream. Where the ids don't tell the parent, the queue delay decides as before.

--- a/wharf/wharfadmission/backpressure.go
+++ b/wharf/wharfadmission/backpressure.go
@@ -86,8 +86,7 @@
 // user request get the same decision as long as the share doesn't change.
 func (b *Backpressure) Admit(now time.Time, p Priority) bool {
 	b.advanceWindows(now)
-	bucket := float64(int(p)%bucketsPerRank) / bucketsPerRank
-	return bucket < 1-b.rejectedShare[min(p.Rank(), rankCount-1)]
+	return p.admittedBy(1 - b.rejectedShare[min(p.Rank(), rankCount-1)])
 }
 
 // AdmittedShare returns the share of the client requests of a rank that is
--- /dev/null
+++ b/wharf/wharfadmission/capacityshares.go
@@ -0,0 +1,97 @@
+package wharfadmission
+
+import (
+	"time"
+)
+
+const (
+	// rateWeight is the weight of a new window of delayWindow in the moving averages of
+	// rates and shares. They then cover about half a second, in which a request that was
+	// admitted several hops upstream has made its calls.
+	rateWeight = 0.2
+	// shareLag is the number of windows after which a share shows in the arrivals: the
+	// response has to reach the nodes upstream, and a request makes its calls one after
+	// another.
+	shareLag = 4
+	// usableShare is the share of the capacity that is given out. The rest covers the
+	// fluctuation of arrivals and service times.
+	usableShare = 0.97
+	// maxDelayCut bounds the factor by which a queue delay above the threshold of a rank
+	// reduces its share.
+	maxDelayCut = 0.5
+)
+
+// CapacityShares computes which share of the client requests of each rank a target can
+// serve, from its capacity and from the rates at which calls of the ranks arrive. The
+// nodes upstream admit that share, see DownstreamShares. The more important ranks come
+// first. A CapacityShares isn't safe for concurrent use. The zero CapacityShares gives
+// every rank the share one.
+type CapacityShares struct {
+	windowStart time.Time
+	arrivals    [rankCount]int
+	// rate is the moving average of the arrivals in a window, and meanShare that of the
+	// share under which they were admitted.
+	rate, meanShare [rankCount]float64
+	// rejected is the share that is not admitted, and past holds its last values.
+	rejected [rankCount]float64
+	past     [rankCount][shareLag]float64
+}
+
+// Capacity is the state of a target at the end of a window.
+type Capacity struct {
+	// PerSecond is the number of requests that the target can finish in a second, zero
+	// if it isn't known.
+	PerSecond float64
+	// Wait returns the queue delay of a rank.
+	Wait func(rank int) time.Duration
+}
+
+// RecordArrival records that a request of a rank has arrived. It computes the shares anew
+// if a window has ended.
+func (s *CapacityShares) RecordArrival(now time.Time, rank int, c Capacity) {
+	s.advance(now, c)
+	s.arrivals[min(max(rank, 0), rankCount-1)]++
+}
+
+// Admitted returns the share of the client requests of a rank that the target can serve.
+func (s *CapacityShares) Admitted(rank int) float64 {
+	return 1 - s.rejected[min(max(rank, 0), rankCount-1)]
+}
+
+// advance evaluates the windows that have ended.
+func (s *CapacityShares) advance(now time.Time, c Capacity) {
+	if s.windowStart.IsZero() {
+		s.windowStart = now
+	}
+	windows := int(now.Sub(s.windowStart) / delayWindow)
+	if windows == 0 {
+		return
+	}
+	s.windowStart = now
+	room := usableShare * c.PerSecond * delayWindow.Seconds()
+	for rank := range rankCount {
+		for range min(windows, maxIncreaseWindows) {
+			past := &s.past[rank]
+			s.rate[rank] += rateWeight * (float64(s.arrivals[rank])/float64(windows) - s.rate[rank])
+			s.meanShare[rank] += rateWeight * (1 - past[0] - s.meanShare[rank])
+			copy(past[:], past[1:])
+			past[shareLag-1] = s.rejected[rank]
+		}
+		s.arrivals[rank] = 0
+		s.rejected[rank] = 1 - s.share(rank, room, c)
+		room = max(room-s.rate[rank], 0)
+	}
+}
+
+// share returns the share of a rank that fits into the room that the more important
+// ranks leave.
+func (s *CapacityShares) share(rank int, room float64, c Capacity) float64 {
+	if c.PerSecond == 0 || s.rate[rank] == 0 {
+		return 1
+	}
+	share := room / s.rate[rank] * s.meanShare[rank]
+	if wait, threshold := c.Wait(rank), delayThreshold(rank); wait > threshold {
+		share *= max(threshold.Seconds()/wait.Seconds(), maxDelayCut)
+	}
+	return min(max(share, minAdmittedShare), 1)
+}
--- /dev/null
+++ b/wharf/wharfadmission/chain_test.go
@@ -0,0 +1,195 @@
+package wharfadmission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// chainKind is a kind of client request in a chainLoad.
+type chainKind struct {
+	name string
+	rank int
+	// perSecond is the rate of requests.
+	perSecond float64
+	// calls is the number of calls to the leaf that a request makes, one after another.
+	// A kind without calls is a request to the leaf itself.
+	calls int
+	// objective bounds the time of a useful response.
+	objective time.Duration
+}
+
+// chainRequest is a request in progress.
+type chainRequest struct {
+	kind     *chainKind
+	entry    int
+	started  time.Time
+	callsTo  int // calls to the leaf that are still to be made
+	admitted bool
+}
+
+// chainLoad simulates kinds of requests that arrive at entries and lead to calls to one
+// leaf target, in steps of a millisecond. The leaf runs calls in the order of its gate and
+// reports which share of each rank it can admit, and the entries admit that share.
+type chainLoad struct {
+	kinds   []chainKind
+	entries []DownstreamShares
+	leaf    *Gate
+	// leafShares holds what the leaf can admit by its own queue.
+	leafShares CapacityShares
+	rng        *rand.Rand
+	now        time.Time
+	lastID     uint64
+	waiting    map[uint64]*chainRequest
+	// ends holds the calls that run at the leaf, by the step in which they end.
+	ends map[time.Time][]uint64
+	// offered, served and wasted count requests by kind: all, those that ended within
+	// their objective, and those that failed after they were admitted.
+	offered, served, wasted map[string]int
+}
+
+const leafServiceTime = 44 * time.Millisecond
+
+func newChainLoad(entries, slots int, kinds []chainKind) *chainLoad {
+	return &chainLoad{
+		kinds: kinds, entries: make([]DownstreamShares, entries),
+		leaf: NewGate(Config{Limiter: NewFixed(slots), Order: ObjectiveOrder}),
+		rng:  rand.New(rand.NewPCG(1, 2)), now: time.Unix(1000, 0),
+		waiting: map[uint64]*chainRequest{}, ends: map[time.Time][]uint64{},
+		offered: map[string]int{}, served: map[string]int{}, wasted: map[string]int{},
+	}
+}
+
+// run simulates a span of time with the rates multiplied by scale, and counts anew.
+func (l *chainLoad) run(span time.Duration, scale float64) {
+	clear(l.offered)
+	clear(l.served)
+	clear(l.wasted)
+	for end := l.now.Add(span); l.now.Before(end); l.now = l.now.Add(time.Millisecond) {
+		for _, id := range l.ends[l.now] {
+			l.finish(id)
+		}
+		delete(l.ends, l.now)
+		for i := range l.kinds {
+			for n := scale * l.kinds[i].perSecond / 1000; n > 0; n-- {
+				if l.rng.Float64() < n {
+					l.arrive(&l.kinds[i])
+				}
+			}
+		}
+	}
+}
+
+func (l *chainLoad) arrive(k *chainKind) {
+	l.offered[k.name]++
+	r := &chainRequest{kind: k, entry: l.rng.IntN(len(l.entries)), started: l.now, callsTo: max(k.calls, 1)}
+	if k.calls > 0 && !l.entries[r.entry].Admit(l.now, PriorityOf(k.rank, l.rng.Uint64())) {
+		return
+	}
+	l.call(r)
+}
+
+// call sends the next call of a request to the leaf.
+func (l *chainLoad) call(r *chainRequest) {
+	l.lastID++
+	l.waiting[l.lastID] = r
+	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf.Capacity())
+	l.apply(l.leaf.Offer(l.now, Ticket{
+		ID: l.lastID, Rank: r.kind.rank, Arrived: l.now, Objective: 300 * time.Millisecond,
+		Deadline: r.started.Add(2 * time.Second),
+	}))
+}
+
+// finish ends a call at the leaf and makes the next one of its request.
+func (l *chainLoad) finish(id uint64) {
+	r := l.waiting[id]
+	delete(l.waiting, id)
+	l.observe(r)
+	l.apply(l.leaf.Finish(l.now, id, leafServiceTime, Responded))
+	r.callsTo--
+	switch {
+	case r.callsTo > 0:
+		l.call(r)
+	case l.now.Sub(r.started) <= r.kind.objective:
+		l.served[r.kind.name]++
+	}
+}
+
+func (l *chainLoad) observe(r *chainRequest) {
+	if r.kind.calls > 0 {
+		l.entries[r.entry].Observe(l.now, r.kind.rank, l.leafShares.Admitted(r.kind.rank))
+	}
+}
+
+func (l *chainLoad) apply(fx Effects) {
+	for _, id := range fx.Run {
+		duration := time.Duration((0.5 + l.rng.Float64()) * float64(leafServiceTime)).Round(time.Millisecond)
+		l.ends[l.now.Add(duration)] = append(l.ends[l.now.Add(duration)], id)
+	}
+	for _, refusal := range fx.Refused {
+		r := l.waiting[refusal.ID]
+		delete(l.waiting, refusal.ID)
+		l.observe(r)
+		l.wasted[r.kind.name]++
+	}
+}
+
+// TestSurgeAtDeepestService covers a surge in which the deepest service has room for all
+// requests of two kinds but only for a part of the third: bookings of rank 0 and reads of
+// rank 2 make eight calls each, one after another, and queries of rank 1 go to the leaf
+// itself. The calls have the ranks of their requests. With one entry or a hundred, nearly
+// all bookings and queries must be served within their objectives, reads must use most of
+// the rest, and few admitted reads may fail.
+func TestSurgeAtDeepestService(t *testing.T) {
+	kinds := []chainKind{
+		{name: "booking", rank: 0, perSecond: 25, calls: 8, objective: 1500 * time.Millisecond},
+		{name: "query", rank: 1, perSecond: 60, objective: 400 * time.Millisecond},
+		{name: "read", rank: 2, perSecond: 70, calls: 8, objective: 1500 * time.Millisecond},
+	}
+	for _, entries := range []int{1, 16, 100} {
+		is := is.NewRelaxed(t)
+		const slots, surge = 33, 1.6
+		l := newChainLoad(entries, slots, kinds)
+		l.run(2*time.Second, 0.6)
+		l.run(4*time.Second, surge)
+		l.run(30*time.Second, surge)
+		share := func(kind string) float64 { return float64(l.served[kind]) / float64(l.offered[kind]) }
+		capacity := float64(NewFixed(slots).Limit()) / leafServiceTime.Seconds()
+		room := (capacity - surge*(25*8+60)) / (surge * 70 * 8)
+		t.Logf("%d entries: bookings %.3f, queries %.3f, reads %.3f of %.3f, wasted reads %.3f", entries,
+			share("booking"), share("query"), share("read"), room, float64(l.wasted["read"])/float64(l.offered["read"]))
+		is.True(share("booking") > 0.98)
+		is.True(share("query") > 0.95)
+		is.True(share("read") > 0.75*room)
+		is.True(float64(l.wasted["read"]) < 0.1*float64(l.offered["read"]))
+		l.run(5*time.Second, 0.6)
+		l.run(10*time.Second, 0.6)
+		t.Logf("%d entries, after the surge: reads %.3f", entries, share("read"))
+		is.True(share("read") > 0.95)
+	}
+}
+
+// TestRequestsWithoutCallsAreNotRejected covers uploads to a service whose other requests
+// make calls to a congested service. Uploads make none, so that they don't meet the queue.
+func TestRequestsWithoutCallsAreNotRejected(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var d DownstreamCalls
+	for range minServedWithoutCalls {
+		d.RecordServed(now, "upload")
+		d.RecordServed(now, "status")
+	}
+	is.True(d.MayCall("upload")) // calls can't be attributed
+	d.RecordCall("status")
+	is.True(!d.MayCall("upload"))
+	is.True(d.MayCall("status"))
+	is.True(d.MayCall("new"))
+	d.RecordServed(now, "new")
+	is.True(d.MayCall("new"))
+	d.RecordCall("upload")
+	is.True(d.MayCall("upload"))
+	d.Prune(now.Add(2 * routeTTL))
+	is.True(d.MayCall("status"))
+}
--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -245,14 +245,23 @@
 	return capacity
 }
 
-// EstimatedWait estimates how long a request that arrives now waits for a slot. It
-// doesn't block.
-func (g *Gate) EstimatedWait() time.Duration {
+// Capacity returns what the target can serve.
+func (g *Gate) Capacity() Capacity {
+	c := Capacity{Wait: g.EstimatedWait}
+	if g.serviceTime > 0 {
+		c.PerSecond = float64(g.cfg.Limiter.Limit()) / g.serviceTime
+	}
+	return c
+}
+
+// EstimatedWait estimates how long a request of a rank that arrives now waits for a
+// slot, behind those of its rank and of the more important ranks. It doesn't block.
+func (g *Gate) EstimatedWait(rank int) time.Duration {
 	limit := g.cfg.Limiter.Limit()
 	if len(g.running) < limit {
 		return 0
 	}
-	seconds := float64(g.queue.len()+1) / float64(limit) * g.serviceTime
+	seconds := float64(g.queue.countUpTo(rank)+1) / float64(limit) * g.serviceTime
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/wharf/wharfadmission/level.go
+++ b/wharf/wharfadmission/level.go
@@ -33,6 +33,11 @@
 	return int(p) / bucketsPerRank
 }
 
+// admittedBy reports whether the priority belongs to an admitted share of its rank.
+func (p Priority) admittedBy(share float64) bool {
+	return float64(int(p)%bucketsPerRank) < share*bucketsPerRank
+}
+
 // Level is an admission level: requests with a larger priority number are refused.
 // In an overload it falls at once to what the target can finish; afterwards it
 // rises gradually. The zero Level admits every request.
--- a/wharf/wharfadmission/limiter.go
+++ b/wharf/wharfadmission/limiter.go
@@ -91,6 +91,9 @@
 // rankCount is the number of ranks; a larger rank counts as the last one.
 const rankCount = 16
 
+// LastRank is the least important rank.
+const LastRank = rankCount - 1
+
 // rankLatency holds one moving average of latency per rank, in seconds, because
 // requests of different classes take different times.
 type rankLatency [rankCount]float64
--- a/wharf/wharfadmission/queue.go
+++ b/wharf/wharfadmission/queue.go
@@ -124,6 +124,17 @@
 	return false
 }
 
+// countUpTo returns the number of tickets of a rank and of the more important ranks.
+func (q *queue) countUpTo(rank int) int {
+	n := 0
+	for _, t := range q.tickets {
+		if t.Rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
 // leastImportantRank returns the rank of the least important request in the queue,
 // which is the largest rank number, or -1 if the queue is empty.
 func (q *queue) leastImportantRank() int {
--- a/wharf/wharfbudget/ledger.go
+++ b/wharf/wharfbudget/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const ledgerShards = 64
@@ -19,6 +21,11 @@
 	Request string
 	Class   string
 	Depth   int
+	// Rank, Priority and Route are the rank, the priority (see
+	// wharfadmission.Priority) and the route of the call.
+	Rank     int
+	Priority uint16
+	Route    string
 	// Retried reports whether a downstream call failed after a retry.
 	Retried bool
 	// DownstreamRefused reports whether a downstream call was refused or failed.
@@ -41,7 +48,8 @@
 // ledger can't create attempts. The zero Ledger is ready to use. A Ledger is safe
 // for concurrent use.
 type Ledger struct {
-	shards [ledgerShards]ledgerShard
+	shards   [ledgerShards]ledgerShard
+	requests [ledgerShards]requestShard
 }
 
 type ledgerShard struct {
@@ -49,12 +57,29 @@
 	entries map[GrantID]ServedCall
 }
 
+// requestShard holds the grants of calls by request id.
+type requestShard struct {
+	mu     sync.Mutex
+	grants map[string]GrantID
+}
+
 func (l *Ledger) shard(id GrantID) *ledgerShard {
 	return &l.shards[uint64(id)%ledgerShards]
 }
 
+func (l *Ledger) requestShard(request string) *requestShard {
+	return &l.requests[xxhash.Sum64String(request)%ledgerShards]
+}
+
 // Open stores the record of a call that starts.
 func (l *Ledger) Open(id GrantID, e ServedCall) {
+	r := l.requestShard(e.Request)
+	r.mu.Lock()
+	if r.grants == nil {
+		r.grants = make(map[string]GrantID)
+	}
+	r.grants[e.Request] = id
+	r.mu.Unlock()
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,6 +98,19 @@
 	return e, ok
 }
 
+// Find returns the record of the call of a request that started last. It returns false
+// if no call of the request is being served.
+func (l *Ledger) Find(request string) (ServedCall, bool) {
+	r := l.requestShard(request)
+	r.mu.Lock()
+	id, ok := r.grants[request]
+	r.mu.Unlock()
+	if !ok {
+		return ServedCall{}, false
+	}
+	return l.Get(id)
+}
+
 // TakeAttempt takes one attempt from a grant and returns the number of attempts that it
 // delegates. ok is false if the grant is unknown or has no attempts left.
 func (l *Ledger) TakeAttempt(id GrantID) (delegated int, ok bool) {
@@ -153,6 +191,12 @@
 	defer s.mu.Unlock()
 	e := s.entries[id]
 	delete(s.entries, id)
+	r := l.requestShard(e.Request)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.grants[e.Request] == id {
+		delete(r.grants, e.Request)
+	}
 	return e
 }
 
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -38,6 +38,9 @@
 	// QueueDelay is the queue delay at the target or downstream of it, whichever
 	// is longer.
 	QueueDelay time.Duration
+	// RejectedShare is the share of the client requests of the call's rank that the
+	// target and the services downstream of it can't serve.
+	RejectedShare float64
 	// FromService is true if requests of this route are calls by a service, not
 	// by a client.
 	FromService bool
--- a/wharf/wharfwire/checksum.go
+++ b/wharf/wharfwire/checksum.go
@@ -2,6 +2,9 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// Permille is the factor between a share and its value in a message.
+const Permille = 1000
+
 // ChunkSize is the largest part of a body in one frame, in bytes.
 const ChunkSize = 32 << 10
 
--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -164,6 +164,7 @@
 		LeastImportantRank: int(l.GetLowestRank()),
 		QueueRoom:          int(l.GetRoom()),
 		RouteLevel:         wharfadmission.Priority(min(l.GetRouteLevel(), uint32(wharfadmission.LevelOpen))),
+		RejectedShare:      float64(l.GetRejectedPermille()) / wharfwire.Permille,
 		FromService:        l.GetInternal(),
 		QueueDelay:         time.Duration(l.GetPressureMs()) * time.Millisecond,
 		RetryAfter:         time.Duration(head.GetRetryAfterMs()) * time.Millisecond,
--- a/wharfnode/internal/wharfproxy/classify.go
+++ b/wharfnode/internal/wharfproxy/classify.go
@@ -20,6 +20,12 @@
 		return wharfoutcome.Refuse(wharfoutcome.ReasonUnknownService), false
 	}
 	c.priority = wharfadmission.PriorityOf(c.policy.Class.Rank, xxhash.Sum64String(c.requestID))
+	if c.linked {
+		// Every hop makes the same admission decision for a client request and for the
+		// calls that serve it.
+		c.policy.Class = wharfconfig.Class{Name: c.parent.Class, Rank: c.parent.Rank}
+		c.priority = wharfadmission.Priority(c.parent.Priority)
+	}
 	if c.grant == nil {
 		c.grant = &rootGrant{grant: wharfbudget.NewGrant(c.policy.Attempts)}
 	}
--- a/wharfnode/internal/wharfproxy/identify.go
+++ b/wharfnode/internal/wharfproxy/identify.go
@@ -26,9 +26,25 @@
 		id := uuid.New()
 		c.requestID = hex.EncodeToString(id[:])
 	}
+	p.linkParent(c, hints.ParentID)
 	return wharfoutcome.Outcome{}, true
 }
 
+// linkParent links a call made by the service on this VM to its parent, if the service
+// is serving a request with this id. The call gets the deadline, the depth, the rank and
+// the priority of the parent, but its attempts are those of its own route.
+func (p *Proxy) linkParent(c *call, id string) {
+	if id == "" {
+		return
+	}
+	parent, ok := p.Ledger.Find(id)
+	if !ok {
+		return
+	}
+	c.parent, c.depth, c.linked = parent, parent.Depth, true
+	p.Backpressure.RecordDownstreamCall(parent.Route)
+}
+
 // continueRequest links a call made by the service on this VM to its parent, the
 // call that the service is serving. The node sent the encoded context to the service
 // with the parent call.
--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -31,8 +31,14 @@
 	Consult(ctx context.Context, owner wharfidempotency.Owner, id wharfidempotency.KeyID) (wharfidempotency.KeyEntry, error)
 }
 
-// delayObserver records the queue delay of a call made by a target on this VM.
+// delayObserver records the calls made by a target on this VM.
 type delayObserver interface {
+	// RecordDownstreamCall records a call made to serve a request of a route.
+	RecordDownstreamCall(route string)
+	// ObserveShare records the share of the client requests of a rank that the called
+	// target and the services downstream of it can serve.
+	ObserveShare(rank int, admitted float64)
+	// Observe records the queue delay of a call whose client request isn't known.
 	Observe(wait time.Duration)
 }
 
@@ -89,7 +95,9 @@
 	grant grant
 	// parent is the call that the service on this VM was serving when it made
 	// this one. It is zero for a client request.
-	parent   wharfbudget.ServedCall
+	parent wharfbudget.ServedCall
+	// linked is true if the parent was found by its request id.
+	linked   bool
 	policy   wharfconfig.Policy
 	priority wharfadmission.Priority
 	body     body
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -146,7 +146,7 @@
 // attempt.
 func (s *attemptLoop) observe(target wharfrouting.Target, delegated int) {
 	s.service.observe(target.Address, s.call.route(), s.last.routing, s.last.latency, s.last.report)
-	s.observeQueueDelay()
+	s.observeDownstream()
 	if s.last.sent {
 		s.call.grant.refundUnused(delegated, s.last.attemptsLeft)
 	} else {
@@ -167,16 +167,21 @@
 	}
 }
 
-// observeQueueDelay records the queue delay of a call made by a target on this
-// VM. A call that was rejected counts with the maximum delay. Client requests don't
+// observeDownstream records what a call made by a target on this VM met downstream: the
+// share that can be served, or for a call without a parent, whose client request is
+// unknown, the queue delay. A call that was rejected counts with the maximum delay. Client requests don't
 // count. A call with a depth above zero has a parent call, so it is no client
 // request. A call without a context has depth zero; for it, the called node reports
 // in FromService whether services make the calls of this route.
-func (s *attemptLoop) observeQueueDelay() {
+func (s *attemptLoop) observeDownstream() {
 	report := s.last.report
 	if report == nil || !report.FromService && s.call.depth == 0 {
 		return
 	}
+	if s.call.depth > 0 {
+		s.proxy.Backpressure.ObserveShare(s.call.policy.Class.Rank, 1-report.RejectedShare)
+		return
+	}
 	switch s.last.outcome.Reason {
 	case wharfoutcome.ReasonOverload, wharfoutcome.ReasonDownstreamOverload, wharfoutcome.ReasonDeadline:
 		s.proxy.Backpressure.Observe(wharfadmission.MaxQueueDelay)
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -45,9 +45,9 @@
 
 // admitsClient reports whether backpressure admits the call. It rejects client
 // requests only: a call that a service makes belongs to a client request that was
-// admitted elsewhere.
+// admitted elsewhere. It doesn't reject those that make no downstream calls.
 func (s *Server) admitsClient(c *call) bool {
-	return !c.fromClient || s.Backpressure.Admit(c.ticketPriority())
+	return !c.fromClient || s.Backpressure.Admit(c.head.GetRoute(), c.ticketPriority())
 }
 
 // admit waits until the gate of the target has decided on the call. The outcome is
@@ -59,6 +59,7 @@
 	t.mu.Lock()
 	t.configure(c.config)
 	t.waiters[c.id] = decided
+	t.shares.RecordArrival(now, ticket.Rank, t.gate.Capacity())
 	t.apply(t.gate.Offer(now, ticket))
 	latestStart := t.gate.LatestStart(ticket)
 	t.mu.Unlock()
@@ -196,9 +197,11 @@
 // the lowest admission level of this target and of the downstream calls of c, and
 // the queue delay is the longer one of this target and of downstream calls.
 func (t *target) load(s *Server, c *call) *wharfwire.Load {
-	downstreamDelay := s.Backpressure.DownstreamDelay()
+	rank := int(c.head.GetRank())
+	downstreamDelay, downstreamShare := s.Backpressure.DownstreamDelay(), s.Backpressure.DownstreamShare(rank)
 	t.mu.Lock()
-	l, wait := t.gate.Load(), t.gate.EstimatedWait()
+	l, wait := t.gate.Load(), t.gate.EstimatedWait(wharfadmission.LastRank)
+	admitted := min(t.shares.Admitted(rank), downstreamShare)
 	t.mu.Unlock()
 	level := min(l.Level, wharfadmission.LevelOpen-wharfadmission.Priority(c.downstream.LevelReduction))
 	return &wharfwire.Load{
@@ -210,5 +213,7 @@
 		Room:       uint32(l.QueueRoom),
 		Internal:   !c.fromClient,
 		PressureMs: uint32(max(wait, downstreamDelay).Milliseconds()),
+
+		RejectedPermille: uint32((1 - admitted) * wharfwire.Permille),
 	}
 }
--- a/wharfnode/internal/wharftarget/backpressure.go
+++ b/wharfnode/internal/wharftarget/backpressure.go
@@ -32,6 +32,8 @@
 	mu           sync.Mutex
 	state        wharfadmission.Backpressure
 	clientRoutes wharfadmission.ClientRouteDetector
+	routeCalls   wharfadmission.DownstreamCalls
+	shares       wharfadmission.DownstreamShares
 	lastPrune    time.Time
 }
 
@@ -48,12 +50,45 @@
 	if now.Sub(g.lastPrune) > pruneInterval {
 		g.lastPrune = now
 		g.clientRoutes.Prune(now)
+		g.routeCalls.Prune(now)
 	}
 	return g.clientRoutes.IsClientRequest(now, route, caller, services)
 }
 
+// RecordServed records that a target of this node begins to serve a request of a route.
+func (g *BackpressureGuard) RecordServed(route string) {
+	if !g.Enabled {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.routeCalls.RecordServed(time.Now(), route)
+}
+
+// RecordDownstreamCall records a call that a target of this node makes to serve a
+// request of a route.
+func (g *BackpressureGuard) RecordDownstreamCall(route string) {
+	if !g.Enabled {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.routeCalls.RecordCall(route)
+}
+
+// ObserveShare records the share of the client requests of a rank that a downstream call
+// reported.
+func (g *BackpressureGuard) ObserveShare(rank int, admitted float64) {
+	if !g.Enabled {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares.Observe(time.Now(), rank, admitted)
+}
+
 // Observe records the queue delay of a downstream call that a target of this node
-// made.
+// made for a client request that isn't known.
 func (g *BackpressureGuard) Observe(wait time.Duration) {
 	if !g.Enabled {
 		return
@@ -63,14 +98,26 @@
 	g.state.Observe(time.Now(), wait)
 }
 
-// Admit reports whether a client request of a priority is admitted.
-func (g *BackpressureGuard) Admit(priority wharfadmission.Priority) bool {
+// Admit reports whether a client request of a route and a priority is admitted.
+func (g *BackpressureGuard) Admit(route string, priority wharfadmission.Priority) bool {
 	if !g.Enabled {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.Admit(time.Now(), priority)
+	now := time.Now()
+	return !g.routeCalls.MayCall(route) || g.state.Admit(now, priority) && g.shares.Admit(now, priority)
+}
+
+// DownstreamShare returns the share of the client requests of a rank that the services
+// downstream can serve. It is one if the guard is off.
+func (g *BackpressureGuard) DownstreamShare(rank int) float64 {
+	if !g.Enabled {
+		return 1
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shares.Admitted(time.Now(), rank)
 }
 
 // DownstreamDelay returns the mean queue delay of the downstream calls of this node's
@@ -89,7 +136,8 @@
 // priority don't spend their retries on a service that has no capacity for them yet.
 func (g *BackpressureGuard) RetryAfter(priority wharfadmission.Priority) time.Duration {
 	g.mu.Lock()
-	admittedShare := g.state.AdmittedShare(time.Now(), priority.Rank())
+	now, rank := time.Now(), priority.Rank()
+	admittedShare := min(g.state.AdmittedShare(now, rank), g.shares.Admitted(now, rank))
 	g.mu.Unlock()
 	retryAfter := min(time.Duration(float64(minRetryAfter)/admittedShare), maxRetryAfter)
 	return wharfadmission.AddJitter(retryAfter, rand.Float64())
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -139,7 +139,11 @@
 		Request:  c.head.GetRequestId(),
 		Class:    c.head.GetClass(),
 		Depth:    int(c.head.GetDepth()) + 1,
+		Rank:     int(c.head.GetRank()),
+		Priority: uint16(c.ticketPriority()),
+		Route:    c.head.GetRoute(),
 	})
+	s.Backpressure.RecordServed(c.head.GetRoute())
 	ctx, monitored := c.target.monitor.Begin(dispatchContext(c), c.deadline)
 	defer monitored.End()
 	conn := connection{cancel: monitored.Cancel}
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -26,6 +26,8 @@
 	info wharfmember.Target
 	// gate decides which calls to the target run, wait or are refused.
 	gate *wharfadmission.Gate
+	// shares is what the target can serve of each rank.
+	shares wharfadmission.CapacityShares
 	// waiters holds the channels for the decisions on waiting calls, and inFlight
 	// the dispatched requests, both by call id.
 	waiters  map[uint64]chan admission
--- a/wharfnode/wharfprotocol/protocol.go
+++ b/wharfnode/wharfprotocol/protocol.go
@@ -22,6 +22,10 @@
 	// Context names the request that the calling service is serving while it
 	// makes this one. It is empty for a client request.
 	Context string
+	// ParentID is the ID of the request that the calling service may be serving while
+	// it makes this one, as far as the IDs tell. It is only a hint: it counts if the
+	// node's target is serving a request with this ID. It is empty if there is none.
+	ParentID string
 	// Timeout is how long the caller waits, zero if it gave none.
 	Timeout time.Duration
 }
