--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -23,11 +23,10 @@
 
 // chainRequest is a request in progress.
 type chainRequest struct {
-	kind     *chainKind
-	entry    int
-	started  time.Time
-	callsTo  int // calls to the leaf that are still to be made
-	admitted bool
+	kind    *chainKind
+	entry   int
+	started time.Time
+	callsTo int // calls to the leaf that are still to be made
 }
 
 // chainLoad simulates kinds of requests that arrive at entries and lead to calls to one
