Keep requests in the failure domain while it has room

Cause: the cost of a target rose with each request in flight, so that with few of them their random numbers decided: a target in another domain with none in flight cost less than a local one with two, although both respond equally fast.

Now a load below 0.4 of the limit counts as 0.4. A request leaves the domain for a target that is twice as fast, or once the local ones are 0.8 full.

Ruled out: a larger factor for another domain, which would let local targets queue while others are idle.

--- /dev/null
+++ b/wharf/wharfrouting/locality_test.go
@@ -0,0 +1,66 @@
+package wharfrouting
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRequestsStayInDomainWhileItHasRoom covers a service with targets in three failure
+// domains that a sender of one domain calls. With few requests in flight, nearly all must
+// stay in the domain, although the number in flight at each target varies. With more than
+// the targets of the domain can run, the others must take the rest before those queue.
+func TestRequestsStayInDomainWhileItHasRoom(t *testing.T) {
+	const (
+		perDomain = 4
+		slots     = 20
+	)
+	tests := []struct {
+		name               string
+		inFlight           int
+		minLocal, maxLocal float64
+	}{
+		{"a quarter of the slots of the domain", perDomain * slots / 4, 0.95, 1},
+		{"half of the slots of the domain", perDomain * slots / 2, 0.85, 1},
+		{"one and a half of the slots of the domain", perDomain * slots * 3 / 2, 0.4, 0.7},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var targets []Target
+			for _, domain := range []string{"a", "b", "c"} {
+				for i := range perDomain {
+					targets = append(targets, Target{Address: fmt.Sprint(domain, i), Slots: slots, FailureDomain: domain, Region: "r"})
+				}
+			}
+			b, rng := NewBalancer(senderLocality), rand.New(rand.NewPCG(1, 2))
+			b.SetTargets(epoch, targets)
+			var running []Target
+			local, picks := 0, 0
+			for i := range 20 * tc.inFlight {
+				if len(running) == tc.inFlight {
+					end := rng.IntN(len(running))
+					b.Observe(epoch, running[end].Address, "", Responded, 50*time.Millisecond, nil)
+					running[end] = running[len(running)-1]
+					running = running[:len(running)-1]
+				}
+				target, _ := b.Pick(epoch, rng, Request{})
+				running = append(running, target)
+				if i < 5*tc.inFlight {
+					continue
+				}
+				picks++
+				if target.FailureDomain == senderLocality.FailureDomain {
+					local++
+				}
+			}
+			share := float64(local) / float64(picks)
+			t.Logf("%.3f stay in the domain", share)
+			is.True(share >= tc.minLocal)
+			is.True(share <= tc.maxLocal)
+		})
+	}
+}
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -105,6 +105,12 @@
 	// lossHalfLife is the time in which the weight of past losses halves.
 	lossHalfLife = 2 * time.Second
 
+	// lightLoad is the load, as a share of the limit, up to which a target responds no
+	// slower than an idle one. A lower load doesn't lower the cost, so that a request
+	// leaves the failure domain only for a target that is faster, or once the targets of
+	// the domain are busy.
+	lightLoad = 0.4
+
 	// otherDomainFactor and otherRegionFactor multiply the cost of a target in
 	// another failure domain and in another region.
 	otherDomainFactor = 2.0
@@ -162,7 +168,7 @@
 		limit = s.report.Limit
 		busy = max(busy, s.report.Running+s.report.Queued)
 	}
-	cost := float64(busy+1)/float64(max(limit, 1)) + lossCost*s.lossRate(now)
+	cost := max(float64(busy+1)/float64(max(limit, 1)), lightLoad) + lossCost*s.lossRate(now)
 	if latency := cmp.Or(s.latency, usualLatency); latency > 0 {
 		cost *= latency
 	}
