Keep the log lines of the process and don't build those that are dropped

And a line that was dropped had been built before, with two maps of its fields.

Now events below 2000, which concern the process, are written beyond the limit, and Enabled is false while the limit of a level is reached.

Before, after: TestEssentialLinesAreNotDropped.

--- a/wharf/wharfcli/ratelimit.go
+++ b/wharf/wharfcli/ratelimit.go
@@ -29,6 +29,10 @@
 // second. It counts the lines that it drops and reports their number in one line
 // of a later second. It is safe for concurrent use.
 type RateLimitedHandler struct {
+	// Essential reports whether an entry is written beyond the limit as well. There
+	// must be few such entries. It is set before the first entry and may be nil.
+	Essential func(e *log.Entry) bool
+
 	format log.Handler
 	line   bytes.Buffer
 	queue  chan []byte
@@ -62,13 +66,31 @@
 		h.second, h.info, h.warn = second, 0, 0
 		h.reportDropped(e)
 	}
-	if !h.allows(e.Level) {
+	if !h.allows(e.Level) && (h.Essential == nil || !h.Essential(e)) {
 		h.drop()
 		return nil
 	}
 	return h.write(e)
 }
 
+// Saturated reports whether the limit of a level is reached in the present second. If so,
+// it counts a dropped line, so that the caller needn't build the entry.
+func (h *RateLimitedHandler) Saturated(level log.Level) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.second != time.Now().Unix() {
+		return false
+	}
+	saturated := h.info >= infoLinesPerSecond
+	if level >= log.WarnLevel {
+		saturated = h.warn >= warnLinesPerSecond
+	}
+	if saturated {
+		h.drop()
+	}
+	return saturated
+}
+
 // allows counts an entry and reports whether the limit of its level permits it.
 func (h *RateLimitedHandler) allows(level log.Level) bool {
 	if level >= log.WarnLevel {
--- a/wharf/wharfcli/ratelimit_test.go
+++ b/wharf/wharfcli/ratelimit_test.go
@@ -59,3 +59,27 @@
 	is.Equal(len(h.queue), maxQueuedLines)
 	is.True(h.Dropped() >= uint64(100*warnLinesPerSecond-maxQueuedLines))
 }
+
+// TestEssentialLinesAreNotDropped checks that lines such as those about start and stop are
+// written however many others there are, and that Saturated agrees with the limit.
+func TestEssentialLinesAreNotDropped(t *testing.T) {
+	is := is.New(t)
+	h := NewRateLimitedHandler(newJSON)
+	h.Essential = func(e *log.Entry) bool { return e.Message == "stopped" }
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	now := time.Now()
+	emit := func(message string) {
+		is.NoErr(h.HandleLog(&log.Entry{Logger: logger, Level: log.InfoLevel, Message: message, Timestamp: now}))
+	}
+	for range 2 * infoLinesPerSecond {
+		emit("served")
+	}
+	emit("stopped")
+	is.Equal(len(h.queue), infoLinesPerSecond+1)
+	if h.Saturated(log.InfoLevel) {
+		is.Equal(h.Dropped(), uint64(infoLinesPerSecond+1))
+		is.True(!h.Saturated(log.WarnLevel))
+		return
+	}
+	is.True(time.Now().Unix() != now.Unix()) // the second has ended meanwhile
+}
--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -42,7 +42,7 @@
 	}
 	logger, lines := settings.Logger()
 	defer wharfcli.WriteLines(lines, os.Stdout)()
-	log := wharfevents.Log{Logger: logger, Dropped: lines.Dropped}
+	log := wharfevents.NewLog(logger, lines)
 	if err := wharfserver.New(settings.WithDefaults(), log).Run(ctx); err != nil {
 		return wharfcli.ExitFailure
 	}
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -7,6 +7,8 @@
 
 	"github.com/apex/log"
 	"github.com/samber/oops"
+
+	"ragwortwharf.dev/wharf/wharfcli"
 )
 
 // Event is an entry of the catalogue: one kind of log line. Number and Name stay as
@@ -105,6 +107,25 @@
 	Logger log.Interface
 	// Dropped returns the number of log lines dropped so far. It may be nil.
 	Dropped func() uint64
+	// Saturated reports whether the log drops further lines of a level at present, and
+	// counts one as dropped if so. It may be nil.
+	Saturated func(level log.Level) bool
+}
+
+// NewLog returns a log that writes to a logger with a rate-limited handler. Events of the
+// process itself are never dropped.
+func NewLog(logger log.Interface, handler *wharfcli.RateLimitedHandler) Log {
+	handler.Essential = isProcessEvent
+	return Log{Logger: logger, Dropped: handler.Dropped, Saturated: handler.Saturated}
+}
+
+// firstRequestEvent is the lowest number of the events that requests cause. The events
+// with lower numbers concern the process: start, stop, settings.
+const firstRequestEvent = 2000
+
+func isProcessEvent(e *log.Entry) bool {
+	number, ok := e.Fields.Get("event").(int)
+	return ok && number < firstRequestEvent
 }
 
 // Field is one detail of an event.
@@ -139,16 +160,22 @@
 	return text
 }
 
-// Enabled reports whether an event would be written, so that code on the request
-// path can avoid the cost of building the fields.
+// Enabled reports whether an event of a request would be written, so that code on the
+// request path can avoid the cost of building the fields. If not, the line counts as
+// dropped.
 func (l Log) Enabled(e Event) bool {
+	return l.leveled(e) && (l.Saturated == nil || !l.Saturated(e.Level))
+}
+
+// leveled reports whether the level of an event is logged.
+func (l Log) leveled(e Event) bool {
 	logger, ok := l.Logger.(*log.Logger)
 	return l.Logger != nil && (!ok || logger.Level <= e.Level)
 }
 
 // Emit writes an event with its fields.
 func (l Log) Emit(e Event, fields ...Field) {
-	if !l.Enabled(e) {
+	if !l.leveled(e) {
 		return
 	}
 	all := log.Fields{"event": e.Number, "name": e.Name}
