Pass the gate to the shares of its capacity

A value built for each arrival, with a method value that is allocated, only carried what the gate knows. The observer of downstream calls is named after what it observes. No change in behaviour.

--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -1,8 +1,6 @@
 package wharfadmission
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// rateWeight is the weight of a new window of delayWindow in the moving averages of
@@ -37,19 +35,10 @@
 	past     [rankCount][shareLag]float64
 }
 
-// Capacity is the state of a target at the end of a window.
-type Capacity struct {
-	// PerSecond is the number of requests that the target can finish in a second, zero
-	// if it isn't known.
-	PerSecond float64
-	// Wait returns the queue delay of a rank.
-	Wait func(rank int) time.Duration
-}
-
-// RecordArrival records that a request of a rank has arrived. It computes the shares anew
-// if a window has ended.
-func (s *CapacityShares) RecordArrival(now time.Time, rank int, c Capacity) {
-	s.advance(now, c)
+// RecordArrival records that a request of a rank has arrived at a gate. It computes the
+// shares anew if a window has ended.
+func (s *CapacityShares) RecordArrival(now time.Time, rank int, g *Gate) {
+	s.advance(now, g)
 	s.arrivals[min(max(rank, 0), rankCount-1)]++
 }
 
@@ -59,7 +48,7 @@
 }
 
 // advance evaluates the windows that have ended.
-func (s *CapacityShares) advance(now time.Time, c Capacity) {
+func (s *CapacityShares) advance(now time.Time, g *Gate) {
 	if s.windowStart.IsZero() {
 		s.windowStart = now
 	}
@@ -68,7 +57,7 @@
 		return
 	}
 	s.windowStart = now
-	room := usableShare * c.PerSecond * delayWindow.Seconds()
+	room := usableShare * g.capacityPerSecond() * delayWindow.Seconds()
 	for rank := range rankCount {
 		for range min(windows, maxIncreaseWindows) {
 			past := &s.past[rank]
@@ -78,19 +67,19 @@
 			past[shareLag-1] = s.rejected[rank]
 		}
 		s.arrivals[rank] = 0
-		s.rejected[rank] = 1 - s.share(rank, room, c)
+		s.rejected[rank] = 1 - s.share(rank, room, g)
 		room = max(room-s.rate[rank], 0)
 	}
 }
 
 // share returns the share of a rank that fits into the room that the more important
 // ranks leave.
-func (s *CapacityShares) share(rank int, room float64, c Capacity) float64 {
-	if c.PerSecond == 0 || s.rate[rank] == 0 {
+func (s *CapacityShares) share(rank int, room float64, g *Gate) float64 {
+	if g.serviceTime == 0 || s.rate[rank] == 0 {
 		return 1
 	}
 	share := room / s.rate[rank] * s.meanShare[rank]
-	if wait, threshold := c.Wait(rank), delayThreshold(rank); wait > threshold {
+	if wait, threshold := g.EstimatedWait(rank), delayThreshold(rank); wait > threshold {
 		share *= max(threshold.Seconds()/wait.Seconds(), maxDelayCut)
 	}
 	return min(max(share, minAdmittedShare), 1)
--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -94,7 +94,7 @@
 func (l *chainLoad) call(r *chainRequest) {
 	l.lastID++
 	l.waiting[l.lastID] = r
-	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf.Capacity())
+	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf)
 	l.apply(l.leaf.Offer(l.now, Ticket{
 		ID: l.lastID, Rank: r.kind.rank, Arrived: l.now, Objective: 300 * time.Millisecond,
 		Deadline: r.started.Add(2 * time.Second),
--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -245,13 +245,13 @@
 	return capacity
 }
 
-// Capacity returns what the target can serve.
-func (g *Gate) Capacity() Capacity {
-	c := Capacity{Wait: g.EstimatedWait}
-	if g.serviceTime > 0 {
-		c.PerSecond = float64(g.cfg.Limiter.Limit()) / g.serviceTime
+// capacityPerSecond returns how many requests the target can finish in a second, zero if
+// it isn't known.
+func (g *Gate) capacityPerSecond() float64 {
+	if g.serviceTime == 0 {
+		return 0
 	}
-	return c
+	return float64(g.cfg.Limiter.Limit()) / g.serviceTime
 }
 
 // EstimatedWait estimates how long a request of a rank that arrives now waits for a
--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -31,8 +31,8 @@
 	Consult(ctx context.Context, owner wharfidempotency.Owner, id wharfidempotency.KeyID) (wharfidempotency.KeyEntry, error)
 }
 
-// delayObserver records the calls made by a target on this VM.
-type delayObserver interface {
+// downstreamObserver records the calls made by a target on this VM.
+type downstreamObserver interface {
 	// RecordDownstreamCall records a call made to serve a request of a route.
 	RecordDownstreamCall(route string)
 	// ObserveShare records the share of the client requests of a rank that the called
@@ -52,9 +52,9 @@
 	Ledger     *wharfbudget.Ledger
 	Quarantine *wharfquarantine.List
 	Consulter  consulter
-	// Backpressure records the queue delay of the calls made by the targets on
-	// this VM.
-	Backpressure delayObserver
+	// Backpressure records what the calls made by the targets on this VM meet
+	// downstream.
+	Backpressure downstreamObserver
 	Protocol     wharfprotocol.CallerProtocol
 	// RepeatLimit limits how often requests reach a target more than once.
 	RepeatLimit wharfbudget.RepeatLimit
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -168,11 +168,11 @@
 }
 
 // observeDownstream records what a call made by a target on this VM met downstream: the
-// share that can be served, or for a call without a parent, whose client request is
-// unknown, the queue delay. A call that was rejected counts with the maximum delay. Client requests don't
-// count. A call with a depth above zero has a parent call, so it is no client
-// request. A call without a context has depth zero; for it, the called node reports
-// in FromService whether services make the calls of this route.
+// share of its rank that can be served, or the queue delay if the call has no parent, so
+// that its client request is unknown. A call that was rejected counts with the maximum
+// delay. Client requests don't count. A call with a depth above zero has a parent, so it
+// is no client request. For a call with depth zero, the called node reports in
+// FromService whether services make the calls of this route.
 func (s *attemptLoop) observeDownstream() {
 	report := s.last.report
 	if report == nil || !report.FromService && s.call.depth == 0 {
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -59,7 +59,7 @@
 	t.mu.Lock()
 	t.configure(c.config)
 	t.waiters[c.id] = decided
-	t.shares.RecordArrival(now, ticket.Rank, t.gate.Capacity())
+	t.shares.RecordArrival(now, ticket.Rank, t.gate)
 	t.apply(t.gate.Offer(now, ticket))
 	latestStart := t.gate.LatestStart(ticket)
 	t.mu.Unlock()
