Log which configuration is in force, since when and from whom

Event 4001 is now logged at level info with the version of the routes and the source, a peer or the log. 4004 says how long the failed read took and from which offset, 4005 how long the log was unavailable. Metrics: reads of the log by result, version of the routes, age of the confirmation.

--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -107,7 +107,7 @@
 func (a *Agent) Exchange(_ context.Context, r *wharfwire.ExchangeRequest) (*wharfwire.ExchangeResponse, error) {
 	now := time.Now()
 	a.mergeMembers(unpackMembers(r.GetMembers()))
-	a.applyRecords(unpackRecords(r.GetRecords()))
+	a.applyRecords(r.GetFrom(), unpackRecords(r.GetRecords()))
 	a.confirm(now, r.GetFreshness())
 	wharftarget.MergeSuspicions(a.Quarantine, r.GetSuspicions())
 	for _, report := range r.GetAccusations() {
@@ -174,38 +174,49 @@
 
 // applyResponse applies the response of a peer: member entries, state and
 // suspicions.
-func (a *Agent) applyResponse(r *wharfwire.ExchangeResponse) {
+func (a *Agent) applyResponse(peer string, r *wharfwire.ExchangeResponse) {
 	now := time.Now()
 	a.mergeMembers(unpackMembers(r.GetMembers()))
 	if data := r.GetSnapshot(); len(data) > 0 {
-		a.restoreSnapshot(data)
+		a.restoreSnapshot(peer, data)
 	}
-	a.applyRecords(unpackRecords(r.GetRecords()))
+	a.applyRecords(peer, unpackRecords(r.GetRecords()))
 	a.confirm(now, r.GetFreshness())
 	wharftarget.MergeSuspicions(a.Quarantine, r.GetSuspicions())
 }
 
-func (a *Agent) restoreSnapshot(data []byte) {
+func (a *Agent) restoreSnapshot(peer string, data []byte) {
 	s, err := wharfstate.Restore(data)
 	if err != nil {
 		a.Log.Emit(wharfevents.SnapshotRefused, wharfevents.ErrorField(err))
 		return
 	}
 	if a.View.Restore(s) {
-		a.Log.Emit(wharfevents.SnapshotAdopted, wharfevents.Field{Name: "offset", Value: s.Offset()})
+		a.Log.Emit(wharfevents.SnapshotAdopted, a.stateFields(peer)...)
 	}
 }
 
-// applyRecords applies log records to the state. If the state advances, it
-// triggers a gossip round to pass the records on at once.
-func (a *Agent) applyRecords(records []wharfstream.Record) {
+// applyRecords applies log records from a source, which is a peer or logSource, to
+// the state. If the state advances, it triggers a gossip round to pass the records on
+// at once.
+func (a *Agent) applyRecords(source string, records []wharfstream.Record) {
 	if len(records) == 0 || !a.View.Apply(records) {
 		return
 	}
-	a.Log.Emit(wharfevents.ConfigAdvanced, wharfevents.Field{Name: "offset", Value: a.View.State().Offset()})
+	a.Log.Emit(wharfevents.ConfigAdvanced, a.stateFields(source)...)
 	a.TriggerRound()
 }
 
+// stateFields describes the state in force and where it came from.
+func (a *Agent) stateFields(source string) []wharfevents.Field {
+	s := a.View.State()
+	return []wharfevents.Field{
+		{Name: "offset", Value: s.Offset()},
+		{Name: "routes-version", Value: s.Routes().Version()},
+		{Name: "source", Value: source},
+	}
+}
+
 // confirm records that the state is complete, if it has reached the end of the
 // log that a peer reports. It adds callTimeout to the reported age, because the
 // message may have been in transit for that long.
--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -44,6 +44,8 @@
 	// after a restart of all nodes none gets the state from another.
 	emptyInterval     = 50 * time.Millisecond
 	emptyReadInterval = 25 * time.Millisecond
+	// logSource is the source of records, in log lines, that this node read itself.
+	logSource = "log"
 )
 
 // follower reads the platform's log if this node is a reader or if its state is
@@ -51,8 +53,9 @@
 type follower struct {
 	agent *Agent
 	rng   *rand.Rand
-	// failed is whether the last read failed.
-	failed bool
+	// failedSince is when the first of the reads that failed in a row began. It is zero
+	// if the last read succeeded.
+	failedSince time.Time
 	// reader is whether this node is a reader, and version is the version of the
 	// view at which reader was computed.
 	version uint64
@@ -173,7 +176,7 @@
 		f.from, f.pending = batch.Oldest, nil
 		return err
 	}
-	f.logAvailability(ctx, err)
+	f.logAvailability(ctx, from, requestedAt, err)
 	if err != nil {
 		return err
 	}
@@ -203,22 +206,31 @@
 		records = f.pending
 		f.from += uint64(len(batch.Records))
 	}
-	f.agent.applyRecords(records)
+	f.agent.applyRecords(logSource, records)
 	if f.agent.View.State().Offset()+1 >= f.from {
 		f.from, f.pending = 0, nil
 	}
 }
 
-// logAvailability emits an event when the platform's log becomes unavailable and
-// when it becomes available again.
-func (f *follower) logAvailability(ctx context.Context, err error) {
-	if ctx.Err() != nil || (err != nil) == f.failed {
+// logAvailability counts a read that began at requestedAt. It emits an event when the
+// platform's log becomes unavailable and when it becomes available again.
+func (f *follower) logAvailability(ctx context.Context, from uint64, requestedAt time.Time, err error) {
+	if ctx.Err() != nil {
 		return
 	}
-	f.failed = err != nil
-	if f.failed {
-		f.agent.Log.Emit(wharfevents.LogUnavailable, wharfevents.ErrorField(err))
-		return
+	f.agent.Metrics.LogRead(err == nil)
+	failed := !f.failedSince.IsZero()
+	switch {
+	case err != nil && !failed:
+		f.failedSince = requestedAt
+		f.agent.Log.Emit(wharfevents.LogUnavailable,
+			wharfevents.Field{Name: "from", Value: from},
+			wharfevents.Field{Name: "elapsed-ms", Value: time.Since(requestedAt).Milliseconds()},
+			wharfevents.ErrorField(err))
+	case err == nil && failed:
+		f.agent.Log.Emit(wharfevents.LogAvailable,
+			wharfevents.Field{Name: "from", Value: from},
+			wharfevents.Field{Name: "unavailable-ms", Value: time.Since(f.failedSince).Milliseconds()})
+		f.failedSince = time.Time{}
 	}
-	f.agent.Log.Emit(wharfevents.LogAvailable)
 }
--- a/wharfnode/internal/wharfcluster/reprobe.go
+++ b/wharfnode/internal/wharfcluster/reprobe.go
@@ -74,5 +74,5 @@
 // restarted there.
 func (a *Agent) reprobe(ctx context.Context, departed wharfmember.Member, since uint64) {
 	// Most departed nodes don't restart, so a failure is expected.
-	_ = a.exchange(ctx, departed.Address, since)
+	_ = a.exchange(ctx, departed, since)
 }
--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -106,7 +106,7 @@
 	group := r.agent.pool.NewGroup()
 	for _, p := range peers {
 		group.Submit(func() {
-			err := r.agent.exchange(ctx, p.Address, since)
+			err := r.agent.exchange(ctx, p, since)
 			if ctx.Err() == nil {
 				r.agent.recordExchange(p, err == nil)
 			}
@@ -118,10 +118,10 @@
 	_ = group.Wait()
 }
 
-// exchange runs one gossip exchange with the peer at an address. Its first
+// exchange runs one gossip exchange with a peer. Its first
 // request carries the recent records after the offset since.
-func (a *Agent) exchange(ctx context.Context, address string, since uint64) error {
-	client, err := a.Peers.Client(address)
+func (a *Agent) exchange(ctx context.Context, peer wharfmember.Member, since uint64) error {
+	client, err := a.Peers.Client(peer.Address)
 	if err != nil {
 		return err
 	}
@@ -133,8 +133,8 @@
 		return err
 	}
 	a.countBytes(request, response)
-	a.applyResponse(response)
-	return a.sync(ctx, client, response)
+	a.applyResponse(peer.Node, response)
+	return a.sync(ctx, client, peer.Node, response)
 }
 
 // joinSeed announces this node to the seed at an address and merges the members
@@ -159,7 +159,7 @@
 
 // sync exchanges member entries with a peer until both tables are equal, in at
 // most maxSyncs exchanges.
-func (a *Agent) sync(ctx context.Context, client wharfwire.NodeClient, response *wharfwire.ExchangeResponse) error {
+func (a *Agent) sync(ctx context.Context, client wharfwire.NodeClient, peer string, response *wharfwire.ExchangeResponse) error {
 	for i := 0; i < maxSyncs && len(response.GetBuckets()) > 0; i++ {
 		request := a.syncRequest(response.GetBuckets())
 		next, err := client.Exchange(ctx, request)
@@ -167,7 +167,7 @@
 			return err
 		}
 		a.countBytes(request, next)
-		a.applyResponse(next)
+		a.applyResponse(peer, next)
 		if len(next.GetMembers()) == 0 && len(request.GetMembers()) == 0 {
 			return nil
 		}
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -60,7 +60,7 @@
 
 // Events of configuration and the platform's log.
 var (
-	ConfigAdvanced   = Event{4001, "config-advanced", log.DebugLevel, "configuration moved to a higher offset"}
+	ConfigAdvanced   = Event{4001, "config-advanced", log.InfoLevel, "configuration moved to a higher offset"}
 	LogUnavailable   = Event{4004, "log-unavailable", log.WarnLevel, "platform's log can't be read"}
 	LogAvailable     = Event{4005, "log-available", log.InfoLevel, "platform's log can be read again"}
 	RecordsExpired   = Event{4006, "records-expired", log.WarnLevel, "records needed have expired in the log"}
@@ -113,9 +113,10 @@
 }
 
 // NewLog returns a log that writes to a logger with a rate-limited handler. Events of the
-// process itself are never dropped.
+// process itself, of the configuration in force and of the platform's log are never
+// dropped.
 func NewLog(logger log.Interface, handler *wharfcli.RateLimitedHandler) Log {
-	handler.Essential = isProcessEvent
+	handler.Essential = isEssential
 	return Log{Logger: logger, Dropped: handler.Dropped, Saturated: handler.Saturated}
 }
 
@@ -123,9 +124,16 @@
 // with lower numbers concern the process: start, stop, settings.
 const firstRequestEvent = 2000
 
-func isProcessEvent(e *log.Entry) bool {
+// essentialLogEvents are those events about the configuration and the platform's log
+// that are logged once for each change.
+var essentialLogEvents = []Event{ConfigAdvanced, LogUnavailable, LogAvailable, SnapshotAdopted, ConfigRefused}
+
+// isEssential reports whether an entry is written whatever the number of entries in the
+// present second.
+func isEssential(e *log.Entry) bool {
 	number, ok := e.Fields.Get("event").(int)
-	return ok && number < firstRequestEvent
+	isLogEvent := slices.ContainsFunc(essentialLogEvents, func(e Event) bool { return e.Number == number })
+	return ok && (number < firstRequestEvent || isLogEvent)
 }
 
 // Field is one detail of an event.
--- a/wharfnode/wharfevents/metrics.go
+++ b/wharfnode/wharfevents/metrics.go
@@ -107,6 +107,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("wharf_log_appends_total{stream=%q,result=%q}", stream, result)).Inc()
 }
 
+// LogRead counts a read of the platform's log.
+func (m Metrics) LogRead(ok bool) {
+	if m.set == nil {
+		return
+	}
+	name := "wharf_log_reads_total{result=\"ok\"}"
+	if !ok {
+		name = "wharf_log_reads_total{result=\"failed\"}"
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
 // Gauge registers a gauge whose value is read each time the metrics are written.
 func (m Metrics) Gauge(name string, read func() float64) {
 	if m.set == nil {
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -161,6 +162,8 @@
 // the metrics.
 func (n *Node) registerGauges(metrics wharfevents.Metrics, keys *wharfidempotency.KeyStore) {
 	metrics.Gauge("wharf_state_offset", func() float64 { return float64(n.view.State().Offset()) })
+	metrics.Gauge("wharf_routes_version", func() float64 { return float64(n.view.State().Routes().Version()) })
+	metrics.Gauge("wharf_state_age_seconds", n.stateAge)
 	metrics.Gauge("wharf_keys", func() float64 { return float64(keys.Len()) })
 	metrics.Gauge("wharf_key_bytes", func() float64 { return float64(keys.Bytes()) })
 	metrics.Gauge("wharf_calls_in_flight", func() float64 { return float64(n.proxy.InFlight()) })
@@ -170,6 +173,16 @@
 	metrics.Gauge("wharf_members", func() float64 { return float64(n.view.KnownNodes()) })
 }
 
+// stateAge returns the time since the state was last confirmed to be complete, in
+// seconds, or NaN if it never was.
+func (n *Node) stateAge() float64 {
+	confirmedAt := n.view.ConfirmedAt()
+	if confirmedAt.IsZero() {
+		return math.NaN()
+	}
+	return time.Since(confirmedAt).Seconds()
+}
+
 func newHTTPServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
