Notice the return of the platform's log within the allowed delay

Cause: a reader waits for records for 3 s, and a read that an unresponsive store has lost ends only 1 s after that. The reader then paused for 0.5 s. So the end of an outage was noticed up to 4.5 s late, and an outage of a few milliseconds cost up to 4 s. Class: the timeout of a call was derived from the call alone, not from the time within which its result is due.

After a failure reads don't wait, so that each lasts 1 s at most, and begin at least 0.5 s apart. Ruled out: gossip (each version was at all nodes within 0.1 s of its first read). A shorter timeout was not taken, because a slow store responds in up to half a second.

--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -20,8 +20,8 @@
 const (
 	// readLimit bounds the number of records in one read.
 	readLimit = 512
-	// retryWait is the pause after a failed read.
-	retryWait = 500 * time.Millisecond
+	// retryInterval is the least time from the start of a failed read to the next read.
+	retryInterval = 500 * time.Millisecond
 	// roleInterval is how often a node that doesn't read the log checks whether
 	// it should.
 	roleInterval = 500 * time.Millisecond
@@ -79,7 +79,8 @@
 			}
 			continue
 		}
-		if f.read(ctx) != nil && !wharftimer.Sleep(ctx, retryWait) {
+		requestedAt := time.Now()
+		if f.read(ctx, requestedAt) != nil && !wharftimer.Sleep(ctx, time.Until(requestedAt.Add(retryInterval))) {
 			return
 		}
 	}
@@ -164,11 +165,20 @@
 	return cmp.Compare(xxhash.Sum64String("reader\x00"+a), xxhash.Sum64String("reader\x00"+b))
 }
 
-func (f *follower) read(ctx context.Context) error {
+// pollWait returns how long the next read waits for records. After a failure the read
+// doesn't wait: a read that was sent to an unresponsive log ends only after its wait, and
+// delays the next read although the log may be available again.
+func (f *follower) pollWait() time.Duration {
+	if !f.failedSince.IsZero() {
+		return 0
+	}
+	return f.agent.PollWait
+}
+
+func (f *follower) read(ctx context.Context, requestedAt time.Time) error {
 	v := f.agent.View
-	requestedAt := time.Now()
-	from := max(v.State().Offset()+1, f.from)
-	batch, err := f.agent.LogClient.Read(ctx, wharfstate.StateStream, from, readLimit, f.agent.PollWait)
+	from, wait := max(v.State().Offset()+1, f.from), f.pollWait()
+	batch, err := f.agent.LogClient.Read(ctx, wharfstate.StateStream, from, readLimit, wait)
 	if errors.Is(err, wharfstream.ErrExpired) {
 		f.agent.Log.Emit(wharfevents.RecordsExpired,
 			wharfevents.Field{Name: "from", Value: from},
@@ -182,15 +192,15 @@
 	}
 	f.applyBatch(batch)
 	if v.State().Offset()+1 >= batch.Next {
-		v.Confirm(batch.Next-1, f.confirmedAt(requestedAt, batch))
+		v.Confirm(batch.Next-1, confirmedAt(requestedAt, wait, batch))
 	}
 	return nil
 }
 
 // confirmedAt returns a time at which the log still ended where the batch ends. The
 // log responds without records only after it has waited for them.
-func (f *follower) confirmedAt(requestedAt time.Time, batch wharfstream.Batch) time.Time {
-	waited := requestedAt.Add(f.agent.PollWait)
+func confirmedAt(requestedAt time.Time, wait time.Duration, batch wharfstream.Batch) time.Time {
+	waited := requestedAt.Add(wait)
 	if len(batch.Records) > 0 || time.Now().Before(waited) {
 		return requestedAt
 	}
