Keep the runtime of a node below the memory of its VM

Cause: the collector runs at 200 percent and the program for the users' platform set no memory limit, so that the heap grew to three times what is in use, whatever the VM has. Class: a resource of the VM that is in the settings and that the process doesn't read.

The fix: one function for both programs sets the limit of the runtime to 70 percent of the memory of the VM; on the users' platform it follows memory_mb of the settings, also when they change, and event 1009 logs it. The rest is for what the runtime doesn't count. Near the limit the collector runs more often. For wharfnode the limit falls from 112 to 90 MiB.

Not done: a budget for what a node holds. Beyond the limit a node still grows, if what is in use doesn't fit.

--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -4,22 +4,21 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"ragwortwharf.dev/wharf/wharfcli"
 	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfmemory"
 	"ragwortwharf.dev/wharfnode/wharfserver"
 	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
-// softMemoryLimit is the soft memory limit of the Go runtime, in bytes. Near it
-// the garbage collector runs more often, so that the process doesn't grow
-// beyond the memory that a VM reserves for it.
-const softMemoryLimit = 112 << 20
+// reservedMemory is the memory that a VM reserves for the process, in bytes. It is the
+// bound that the users set for control on a node.
+const reservedMemory = 128 << 20
 
 func main() {
-	debug.SetMemoryLimit(softMemoryLimit)
+	wharfmemory.SetLimit(reservedMemory)
 	os.Exit(run())
 }
 
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -31,6 +31,7 @@
 	SettingsReloaded = Event{1007, "settings-reloaded", log.InfoLevel, "changed settings applied"}
 	SettingsRefused  = Event{1008, "settings-refused", log.ErrorLevel, "changed settings can't be used"}
 	PauseNoticed     = Event{1006, "pause-noticed", log.WarnLevel, "process was paused"}
+	MemoryLimited    = Event{1009, "memory-limit-set", log.InfoLevel, "memory limit of the runtime set"}
 )
 
 // Events of requests. LateResponse means that an attempt received the response to
@@ -92,7 +93,7 @@
 
 // Catalogue lists all events.
 var Catalogue = []Event{
-	NodeStarted, NodeStopping, NodeStopped, StopTimedOut, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused,
+	NodeStarted, NodeStopping, NodeStopped, StopTimedOut, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused, MemoryLimited,
 	BadRequest, LateResponse, ResponseIncomplete, DispatchFailed,
 	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
 	TargetAnnounced, TargetLeaving, TargetExpired, AnnouncementRefused, TargetCrashed, TargetUnresponsive, TargetResponsive, RequestQuarantined,
