Keep the rate limit that a target names

Cause: no node read the header. Class: an instruction of a target that the node passes on to others and doesn't follow itself. Ruled out by the code: a limit kept per sending node, or lifted by a late response.

The fix: the node beside the target, which all requests pass, keeps the limit with a token bucket in the gate (unused requests are made up for over 0.25 s; a new limit begins empty). Requests wait up to the queue time of the gate, the important ranks first, the rest is refused at once with the time when to come back. The reported limit of concurrent requests falls with it, so that senders choose other targets. A limit ends once no response has named it for 1 s, and a limit of zero lets one request in 2 s through, as only a response can lift it.

Open: the node doesn't know the limit after its own restart until the first response.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -74,6 +74,7 @@
 	running []running
 	level   Level
 	latency rankLatency
+	rate    rateLimit
 	// serviceTime is the moving average of the time that a request occupies its
 	// slot, in seconds.
 	serviceTime float64
@@ -178,7 +179,7 @@
 	l := Load{
 		Running:            len(g.running),
 		Queued:             g.queue.len(),
-		Limit:              g.cfg.Limiter.Limit(),
+		Limit:              g.effectiveLimit(),
 		Level:              LevelOpen,
 		LeastImportantRank: g.queue.leastImportantRank(),
 		QueueRoom:          max(g.queueCapacity()-g.queue.len(), 0),
@@ -210,9 +211,10 @@
 			g.refuse(fx, t.ID, wharfoutcome.ReasonDeadline)
 			continue
 		}
-		if len(g.running) >= g.limitFor(t.Rank) {
+		if len(g.running) >= g.limitFor(t.Rank) || !g.rate.allows(now) {
 			return
 		}
+		g.rate.take()
 		g.queue.remove(i)
 		g.running = append(g.running, running{t, now})
 		g.recordWait(now.Sub(t.Arrived))
@@ -242,6 +244,9 @@
 	if g.cfg.MaxWait > 0 && g.serviceTime > 0 {
 		capacity = max(capacity, int(g.cfg.MaxWait.Seconds()/g.serviceTime*float64(limit)))
 	}
+	if g.rate.limited() {
+		capacity = min(capacity, g.rateQueue())
+	}
 	return capacity
 }
 
--- a/wharf/wharfadmission/retryafter.go
+++ b/wharf/wharfadmission/retryafter.go
@@ -22,14 +22,14 @@
 }
 
 // RetryAfter returns a retry-after hint: the time until a slot is likely to be
-// free, estimated from the drain rate.
+// free, estimated from the drain rate and the rate limit.
 func (g *Gate) RetryAfter() time.Duration {
 	hint := minRetryAfter
 	if g.drainRate > 0 {
 		seconds := float64(g.queue.len()+1) / g.drainRate
 		hint = time.Duration(seconds * float64(time.Second))
 	}
-	hint = min(max(hint, minRetryAfter), maxRetryAfter)
+	hint = min(max(hint, minRetryAfter, g.rate.wait(g.queue.len()+1)), maxRetryAfter)
 	if g.cfg.Rand == nil {
 		return hint
 	}
--- a/wharf/wharfwire/headers.go
+++ b/wharf/wharfwire/headers.go
@@ -19,6 +19,9 @@
 	HeaderRetryAfter     = "Retry-After"
 	// HeaderRetryAfterMs is the retry-after hint in milliseconds.
 	HeaderRetryAfterMs = "Wharf-Retry-After-Ms"
+	// HeaderRateLimit is how many requests a second a target takes from all nodes
+	// together, a decimal number. The limit holds as long as responses name it.
+	HeaderRateLimit = "Wharf-Rate-Limit"
 )
 
 // hopByHop lists the headers that apply to a single connection (hop-by-hop
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -61,7 +61,7 @@
 	t.waiters[c.id] = decided
 	t.shares.RecordArrival(now, ticket.Rank, t.gate)
 	t.apply(t.gate.Offer(now, ticket))
-	latestStart := t.gate.LatestStart(ticket)
+	latestStart, rateWait := t.gate.LatestStart(ticket), t.gate.RateWait()
 	t.mu.Unlock()
 	select {
 	case a := <-decided:
@@ -72,16 +72,41 @@
 	// deadline.
 	startTimer := time.NewTimer(latestStart.Sub(now))
 	defer startTimer.Stop()
-	select {
-	case a := <-decided:
-		return a.outcome, a.run
-	case <-startTimer.C:
-		return t.cancel(c, decided, wharfoutcome.ReasonDeadline)
-	case <-c.ctx.Done():
-		return t.cancel(c, decided, c.endReason(c.ctx))
+	rateTimer := newRateTimer(rateWait)
+	defer func() { rateTimer.Stop() }()
+	for {
+		select {
+		case a := <-decided:
+			return a.outcome, a.run
+		case <-rateTimer.C:
+			rateTimer = newRateTimer(t.refill())
+		case <-startTimer.C:
+			return t.cancel(c, decided, wharfoutcome.ReasonDeadline)
+		case <-c.ctx.Done():
+			return t.cancel(c, decided, c.endReason(c.ctx))
+		}
 	}
 }
 
+// newRateTimer returns a timer for the next start that a rate limit allows. If wait is zero
+// there is no rate limit, and the timer never fires.
+func newRateTimer(wait time.Duration) *time.Timer {
+	timer := time.NewTimer(wait)
+	if wait == 0 {
+		timer.Stop()
+	}
+	return timer
+}
+
+// refill starts the waiting calls that the rate limit allows by now, and returns how long it
+// takes until it allows the next one.
+func (t *target) refill() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(t.gate.Refill(time.Now()))
+	return t.gate.RateWait()
+}
+
 // cancel removes a waiting call whose sender disconnected or whose time to start is
 // over. If the call was admitted at the same moment, cancel frees its slot.
 func (t *target) cancel(c *call, decided <-chan admission, reason wharfoutcome.Reason) (wharfoutcome.Outcome, bool) {
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -158,7 +158,11 @@
 	monitored.RecordResponse()
 	defer func() { _ = response.Body.Close() }()
 	c.arrived = true
-	switch v := s.Protocol.Classify(response, c.dispatchInfo); v.Kind {
+	v := s.Protocol.Classify(response, c.dispatchInfo)
+	if v.Kind != wharfoutcome.Unknown && v.Reason != wharfoutcome.ReasonNoTarget {
+		s.recordStatus(c.target, s.Protocol.TargetStatus(response.Header))
+	}
+	switch v.Kind {
 	case wharfoutcome.NotRun:
 		s.closeGrant(c)
 		// After a refused downstream call, the refusal of the target doesn't show
--- /dev/null
+++ b/wharfnode/internal/wharftarget/status.go
@@ -0,0 +1,35 @@
+package wharftarget
+
+import (
+	"time"
+
+	"ragwortwharf.dev/wharfnode/wharfevents"
+	"ragwortwharf.dev/wharfnode/wharfprotocol"
+)
+
+// recordStatus applies what a target says of itself in a response. All calls to a target
+// pass its node, so that a limit which the node keeps holds for all nodes together.
+func (s *Server) recordStatus(t *target, status wharfprotocol.TargetStatus) {
+	began, ended := t.recordRate(time.Now(), status)
+	switch {
+	case began:
+		s.Log.Emit(wharfevents.TargetRateLimited,
+			wharfevents.Field{Name: "target", Value: t.address},
+			wharfevents.Field{Name: "per-second", Value: status.RateLimit})
+	case ended:
+		s.Log.Emit(wharfevents.TargetRateLifted, wharfevents.Field{Name: "target", Value: t.address})
+	}
+}
+
+// recordRate applies the rate limit that a response names, or that it names none. It
+// reports whether a limit began or ended.
+func (t *target) recordRate(now time.Time, status wharfprotocol.TargetStatus) (began, ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if status.Limited {
+		return t.gate.SetRate(now, status.RateLimit), false
+	}
+	fx, ended := t.gate.LiftRate(now)
+	t.apply(fx)
+	return false, ended
+}
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -56,6 +56,8 @@
 	TargetCrashed       = Event{3005, "target-crashed", log.ErrorLevel, "target crashed with requests in flight"}
 	TargetUnresponsive  = Event{3007, "target-silent", log.WarnLevel, "target is unresponsive and accepts no connection"}
 	TargetResponsive    = Event{3008, "target-answers", log.WarnLevel, "unresponsive target accepts connections again"}
+	TargetRateLimited   = Event{3009, "target-rate-limited", log.WarnLevel, "target named a rate limit"}
+	TargetRateLifted    = Event{3010, "target-rate-lifted", log.InfoLevel, "target names no rate limit any more"}
 	RequestQuarantined  = Event{3006, "request-quarantined", log.ErrorLevel, "request quarantined for crashing targets"}
 )
 
@@ -97,6 +99,7 @@
 	BadRequest, LateResponse, ResponseIncomplete, DispatchFailed,
 	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
 	TargetAnnounced, TargetLeaving, TargetExpired, AnnouncementRefused, TargetCrashed, TargetUnresponsive, TargetResponsive, RequestQuarantined,
+	TargetRateLimited, TargetRateLifted,
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
 	MemberDown, MemberChanged, DownRefuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationRaised,
--- a/wharfnode/wharfprotocol/native.go
+++ b/wharfnode/wharfprotocol/native.go
@@ -98,3 +98,9 @@
 	}
 	return c
 }
+
+// TargetStatus reads the header with which a target names a rate limit.
+func (Native) TargetStatus(h http.Header) TargetStatus {
+	limit, limited := ParseRateLimit(h.Get(wharfwire.HeaderRateLimit))
+	return TargetStatus{RateLimit: limit, Limited: limited}
+}
--- a/wharfnode/wharfprotocol/protocol.go
+++ b/wharfnode/wharfprotocol/protocol.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
@@ -64,12 +66,29 @@
 	RetryAfter time.Duration
 }
 
+// TargetStatus is what a target says of itself in a response.
+type TargetStatus struct {
+	// RateLimit is how many requests a second the target takes from all nodes together.
+	// It counts only if Limited is true.
+	RateLimit float64
+	Limited   bool
+}
+
 // TargetProtocol is the protocol between a node and its targets.
 type TargetProtocol interface {
 	// SetRequestHeaders sets the headers of a request to a target.
 	SetRequestHeaders(r *http.Request, d Dispatch)
 	// Classify returns the meaning of a target's response.
 	Classify(response *http.Response, d Dispatch) Classification
+	// TargetStatus returns what the target says of itself in the headers of a response.
+	TargetStatus(h http.Header) TargetStatus
+}
+
+// ParseRateLimit parses a decimal number of requests a second. It returns false if the text
+// is empty or not such a number.
+func ParseRateLimit(text string) (float64, bool) {
+	limit, err := strconv.ParseFloat(text, 64)
+	return limit, err == nil && limit >= 0 && !math.IsInf(limit, 1)
 }
 
 // Protocol is the protocol between a node and its callers and targets.
