Stop sending to a target that says in a response that it leaves

Some targets never report it in a heartbeat.

Cause: no node read the header; the same class as the rate limit, an instruction of a target that is passed on and not followed.

The fix: the node beside the target closes it at the first such response, and ends this incarnation of the target, as a deregistration does. Heartbeats of it that arrive later have no effect, and one of a later start opens the target again. In the project's own protocol the next announcement does.

--- a/wharf/wharfwire/headers.go
+++ b/wharf/wharfwire/headers.go
@@ -22,6 +22,8 @@
 	// HeaderRateLimit is how many requests a second a target takes from all nodes
 	// together, a decimal number. The limit holds as long as responses name it.
 	HeaderRateLimit = "Wharf-Rate-Limit"
+	// HeaderLeaving is "1" in the responses of a target that is about to stop.
+	HeaderLeaving = "Wharf-Leaving"
 )
 
 // hopByHop lists the headers that apply to a single connection (hop-by-hop
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -160,7 +160,7 @@
 	c.arrived = true
 	v := s.Protocol.Classify(response, c.dispatchInfo)
 	if v.Kind != wharfoutcome.Unknown && v.Reason != wharfoutcome.ReasonNoTarget {
-		s.recordStatus(c.target, s.Protocol.TargetStatus(response.Header))
+		s.recordStatus(c, s.Protocol.TargetStatus(response.Header))
 	}
 	switch v.Kind {
 	case wharfoutcome.NotRun:
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -38,6 +38,11 @@
 	Audit(action string, details ...wharfevents.Field)
 }
 
+// leavingTargets learns that a target said in a response that it leaves.
+type leavingTargets interface {
+	TargetSaysLeaving(instance, address string)
+}
+
 // Server is the target side of a node. Its exported fields are set before the first
 // call. It is safe for concurrent use.
 type Server struct {
@@ -53,7 +58,9 @@
 	Consulter   consulter
 	Broadcaster broadcaster
 	Auditor     auditor
-	Protocol    wharfprotocol.TargetProtocol
+	// LeavingTargets stops the dispatch to targets that leave.
+	LeavingTargets leavingTargets
+	Protocol       wharfprotocol.TargetProtocol
 	// CrashedTargetRefusesConnections is true if a crashed target refuses connections
 	// for a while. If such a target accepts a new connection after a request has
 	// failed, it has not crashed; only the response was lost.
--- a/wharfnode/internal/wharftarget/status.go
+++ b/wharfnode/internal/wharftarget/status.go
@@ -9,7 +9,11 @@
 
 // recordStatus applies what a target says of itself in a response. All calls to a target
 // pass its node, so that a limit which the node keeps holds for all nodes together.
-func (s *Server) recordStatus(t *target, status wharfprotocol.TargetStatus) {
+func (s *Server) recordStatus(c *call, status wharfprotocol.TargetStatus) {
+	t := c.target
+	if status.Leaving && !t.isLeaving() {
+		s.LeavingTargets.TargetSaysLeaving(c.dispatchInfo.Instance, t.address)
+	}
 	began, ended := t.recordRate(time.Now(), status)
 	switch {
 	case began:
@@ -21,6 +25,13 @@
 	}
 }
 
+// isLeaving reports whether the target gets no new calls.
+func (t *target) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving || t.info.Leaving
+}
+
 // recordRate applies the rate limit that a response names, or that it names none. It
 // reports whether a limit began or ended.
 func (t *target) recordRate(now time.Time, status wharfprotocol.TargetStatus) (began, ended bool) {
--- a/wharfnode/wharfprotocol/native.go
+++ b/wharfnode/wharfprotocol/native.go
@@ -99,8 +99,9 @@
 	return c
 }
 
-// TargetStatus reads the header with which a target names a rate limit.
+// TargetStatus reads the headers with which a target names a rate limit and says that it
+// leaves.
 func (Native) TargetStatus(h http.Header) TargetStatus {
 	limit, limited := ParseRateLimit(h.Get(wharfwire.HeaderRateLimit))
-	return TargetStatus{RateLimit: limit, Limited: limited}
+	return TargetStatus{RateLimit: limit, Limited: limited, Leaving: h.Get(wharfwire.HeaderLeaving) == "1"}
 }
--- a/wharfnode/wharfprotocol/protocol.go
+++ b/wharfnode/wharfprotocol/protocol.go
@@ -72,6 +72,8 @@
 	// It counts only if Limited is true.
 	RateLimit float64
 	Limited   bool
+	// Leaving is true if the target is about to stop.
+	Leaving bool
 }
 
 // TargetProtocol is the protocol between a node and its targets.
--- a/wharfnode/wharfserver/announce.go
+++ b/wharfnode/wharfserver/announce.go
@@ -34,6 +34,16 @@
 	return true
 }
 
+// TargetSaysLeaving stops the dispatch of new requests to a target that said in a response
+// that it leaves.
+func (n *Node) TargetSaysLeaving(instance, address string) {
+	if n.options.LeavingTargets != nil {
+		n.options.LeavingTargets.TargetSaysLeaving(instance, address)
+		return
+	}
+	n.SetTargetLeaving(address)
+}
+
 // HasService reports whether a route leads to the service.
 func (n *Node) HasService(name string) bool {
 	return n.view.State().Routes().HasService(name)
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -137,7 +137,7 @@
 	backpressure := &wharftarget.BackpressureGuard{Enabled: settings.Backpressure}
 	n.target = &wharftarget.Server{
 		View: n.view, Registry: registry, Backpressure: backpressure, Ledger: ledger, Quarantine: quarantine, Keys: keys,
-		Consulter: n.agent, Broadcaster: n.agent, Auditor: n.agent, Protocol: options.Protocol, CrashedTargetRefusesConnections: options.CrashedTargetRefusesConnections,
+		Consulter: n.agent, Broadcaster: n.agent, Auditor: n.agent, LeavingTargets: n, Protocol: options.Protocol, CrashedTargetRefusesConnections: options.CrashedTargetRefusesConnections,
 		Log: log, Metrics: metrics,
 	}
 	n.transport = &wharftransport.Client{SelfAddress: settings.Advertise, Receiver: n.target, Log: log}
--- a/wharfnode/wharfserver/options.go
+++ b/wharfnode/wharfserver/options.go
@@ -28,6 +28,11 @@
 	Remove(ctx context.Context, departed wharfmember.Member) error
 }
 
+// LeavingTargets learns that a target said in a response that it leaves.
+type LeavingTargets interface {
+	TargetSaysLeaving(instance, address string)
+}
+
 // Options replace the defaults of a node. A zero field means the default.
 type Options struct {
 	// Protocol is the protocol that the node uses with callers and targets. The
@@ -53,6 +58,10 @@
 	// PollWait is how long a read of the log waits for records. Zero means
 	// defaultPollWait.
 	PollWait time.Duration
+	// LeavingTargets is told which targets said in a response that they leave, and calls
+	// SetTargetLeaving. By default the node marks the target as leaving until its next
+	// announcement.
+	LeavingTargets LeavingTargets
 	// Linger is the minimum time for which the node still serves callers after
 	// a planned stop began.
 	Linger time.Duration
