Let a rank in again that an outdated latency refuses

Cause: the gate refuses a request whose usual latency exceeds its remaining time, and only a completed request of the rank corrects the latency. The exception for an idle target doesn't help where other ranks keep it busy. Class: an estimate that refuses what alone could correct it.

The fix: a rank without a sample for 1 s lets one request in per second, and the first sample after such a time replaces the average. Ruled out: a decay of the estimate, which lets all waiting requests of a slow rank in at once.

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -73,7 +73,8 @@
 	queue   queue
 	running []running
 	level   Level
-	latency rankLatency
+	// latency holds the usual latency of each rank.
+	latency [rankCount]latencyEstimate
 	rate    rateLimit
 	// serviceTime is the moving average of the time that a request occupies its
 	// slot, in seconds.
@@ -195,7 +196,7 @@
 	if s.Result != Responded {
 		return
 	}
-	g.latency.smooth(s.Rank, s.Latency.Seconds(), latencyWeight)
+	g.latency[s.Rank].observe(now, s.Latency)
 	g.serviceTime = smooth(g.serviceTime, elapsed.Seconds(), latencyWeight)
 	g.drainCount++
 	g.measureDrain(now)
@@ -298,14 +299,19 @@
 // An idle target gets any request whose deadline has not passed, because only a
 // finished request can correct a wrong latency estimate.
 func (g *Gate) canFinish(now time.Time, t Ticket) bool {
-	switch {
-	case len(g.running) == 0:
+	if len(g.running) == 0 {
 		return t.Deadline.After(now)
-	case g.uncontended(t):
+	}
+	latest := g.LatestStart(t)
+	if g.uncontended(t) {
 		optimistic := time.Duration(optimisticShare * float64(g.estimate(t.Rank)))
-		return now.Before(t.Deadline.Add(-max(optimistic, responseMargin)))
+		latest = t.Deadline.Add(-max(optimistic, responseMargin))
+	}
+	if now.Before(latest) {
+		return true
 	}
-	return now.Before(g.LatestStart(t))
+	probe := g.latency[t.Rank].probe(now, t.ID)
+	return probe && now.Before(t.Deadline.Add(-responseMargin))
 }
 
 // uncontended reports whether there is a free slot for a request and no other
@@ -320,13 +326,16 @@
 
 // estimate returns the usual latency of a rank, zero if it is unknown.
 func (g *Gate) estimate(rank int) time.Duration {
-	return time.Duration(g.latency[min(max(rank, 0), rankCount-1)] * float64(time.Second))
+	return time.Duration(g.latency[min(max(rank, 0), rankCount-1)].seconds * float64(time.Second))
 }
 
 // LatestStart returns the time from which a waiting request is refused. After
 // that time the target could not answer before the deadline, while a refusal still
 // reaches the caller in time.
 func (g *Gate) LatestStart(t Ticket) time.Time {
+	if g.latency[min(max(t.Rank, 0), rankCount-1)].isProbe(t.ID) {
+		return t.Deadline.Add(-responseMargin)
+	}
 	return t.Deadline.Add(-max(g.estimate(t.Rank), responseMargin))
 }
 
