Read on after the store came back from an older copy

Cause: the offset alone was the position in the log. Class: an order that holds only as long as the log loses nothing.

TestRestoreKeepsNewerRoutes and TestLaterRoutesOfSameVersionHold are new. Open: a node that starts between the restore and the operator's second write serves the copy until then.

--- a/wharf/wharfstate/routes_test.go
+++ b/wharf/wharfstate/routes_test.go
@@ -68,3 +68,45 @@
 	got := s.WithRecords([]wharfstream.Record{routesRecord(t, 9, 4)})
 	is.Equal(got.Offset(), uint64(2))
 }
+
+// TestRestoreKeepsNewerRoutes guards against routes in force that go back to those of an
+// older copy of the log: a node that started after the restore of the log has read only the
+// copy, but at an offset of a later epoch.
+func TestRestoreKeepsNewerRoutes(t *testing.T) {
+	later := wharfstream.OffsetIn(1, 1)
+	tests := []struct {
+		name                   string
+		own, snapshot, version uint64
+	}{
+		{"older", 60, 55, 60},
+		{"newer", 60, 61, 61},
+		{"first", 0, 55, 55},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var own *State
+			if tc.own > 0 {
+				own = own.WithRecords([]wharfstream.Record{routesRecord(t, 9, tc.own)})
+			}
+			var copied *State
+			copied = copied.WithRecords([]wharfstream.Record{routesRecord(t, later, tc.snapshot)})
+			restored := copied.WithNewerRoutes(own)
+			is.Equal(restored.Routes().Version(), tc.version)
+			is.Equal(restored.Offset(), later)
+		})
+	}
+}
+
+// TestLaterRoutesOfSameVersionHold checks that of two different sets of routes with one
+// version the later one in the log holds: after a restore of the log the operator may write
+// another set under a version that was lost.
+func TestLaterRoutesOfSameVersionHold(t *testing.T) {
+	is := is.New(t)
+	second, err := Envelope{Routes: &wharfroute.Set{Version: 7, Routes: []wharfroute.Route{{Name: "second"}}}}.Encode()
+	is.NoErr(err)
+	var s *State
+	s = s.WithRecords([]wharfstream.Record{routesRecord(t, 9, 7)})
+	s = s.WithRecords([]wharfstream.Record{{Offset: wharfstream.OffsetIn(1, 8), Data: second}})
+	is.Equal(len(s.Routes().Set().Routes), 1)
+}
--- a/wharf/wharfstate/state.go
+++ b/wharf/wharfstate/state.go
@@ -97,6 +97,17 @@
 	return a.state()
 }
 
+// WithNewerRoutes returns the state with the routes of another state, if those have a higher
+// version.
+func (s *State) WithNewerRoutes(other *State) *State {
+	if other.Routes().Version() <= s.Routes().Version() {
+		return s
+	}
+	next := *s
+	next.routes = other.Routes()
+	return &next
+}
+
 // onlyRoutes reports whether the state holds neither configuration changes nor
 // ownership records.
 func (s *State) onlyRoutes() bool {
@@ -153,14 +164,14 @@
 	}
 }
 
-// addRoutes keeps a set of routes if its version is higher than the current
-// one.
+// addRoutes keeps a set of routes unless its version is lower than the current one. Of two
+// sets with one version, the later one in the log holds.
 func (a *applier) addRoutes(set *wharfroute.Set) {
 	version := a.base.Routes().Version()
 	if a.routes != nil {
 		version = a.routes.Version
 	}
-	if set.Version > version {
+	if set.Version >= version {
 		a.routes = set
 	}
 }
--- a/wharfnode/internal/wharfview/view.go
+++ b/wharfnode/internal/wharfview/view.go
@@ -159,14 +159,16 @@
 }
 
 // Restore replaces the state by that of a snapshot if the snapshot has a higher
-// offset. It reports whether it did.
+// offset. It keeps the present routes if their version is higher: after a restore of the
+// log from an older copy, later offsets may hold an older version. It reports whether it
+// replaced the state.
 func (v *View) Restore(s *wharfstate.State) bool {
 	v.stateMu.Lock()
 	defer v.stateMu.Unlock()
 	if s.Offset() <= v.state.Load().Offset() {
 		return false
 	}
-	v.state.Store(s)
+	v.state.Store(s.WithNewerRoutes(v.state.Load()))
 	v.records = nil
 	v.notify()
 	return true
