Write the entries of nodes again after a restore of the store

The fix: a node whose state comes from another epoch of the log writes its entry again, at a random time, at 250 a second over all nodes.

--- a/wharfnode/internal/wharfcluster/registration.go
+++ b/wharfnode/internal/wharfcluster/registration.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
@@ -19,6 +20,12 @@
 	maxEnterPause = 5 * time.Second
 	// sweepInterval is how often the entries of departed nodes are removed.
 	sweepInterval = 30 * time.Second
+	// epochInterval is how often a node checks whether the log was restored from an older
+	// copy, which may lack the entry of this node.
+	epochInterval = 100 * time.Millisecond
+	// entriesPerSecond bounds the entries that all nodes together write again after a
+	// restore, below the least rate that logs allow (400 a second).
+	entriesPerSecond = 250
 )
 
 // registration keeps the directory up to date with the members. Each node writes
@@ -30,6 +37,10 @@
 	// removed holds the incarnation of each node whose entry this node has
 	// removed, by node id.
 	removed map[string]uint64
+	// epoch is the epoch of the log in which this node has written its entry. It isn't
+	// known before the node has a state.
+	epoch      uint64
+	epochKnown bool
 }
 
 func (r *registration) run(ctx context.Context) {
@@ -44,9 +55,42 @@
 		r.agent.join(ctx)
 	}
 	r.removed = map[string]uint64{}
-	for wharftimer.Sleep(ctx, sweepInterval) {
-		r.sweep(ctx)
+	swept := time.Now()
+	for wharftimer.Sleep(ctx, epochInterval) {
+		if r.logRestored() && !r.enterAgain(ctx) {
+			return
+		}
+		if time.Since(swept) >= sweepInterval {
+			r.sweep(ctx)
+			swept = time.Now()
+		}
+	}
+}
+
+// logRestored reports whether the log was restored since this node has written its entry. The
+// first state of a node shows the epoch in which it has started.
+func (r *registration) logRestored() bool {
+	offset := r.agent.View.State().Offset()
+	if !r.epochKnown {
+		r.epoch, r.epochKnown = wharfstream.Epoch(offset), offset > 0
+	}
+	return wharfstream.Epoch(offset) != r.epoch
+}
+
+// enterAgain writes the entry of this node after a restore of the log, at a random time in
+// which all nodes write theirs. It returns false if the context ends first.
+func (r *registration) enterAgain(ctx context.Context) bool {
+	epoch := wharfstream.Epoch(r.agent.View.State().Offset())
+	spread := time.Duration(r.agent.View.KnownNodes()) * time.Second / entriesPerSecond
+	if !wharftimer.Sleep(ctx, time.Duration(r.rng.Float64()*float64(spread))) {
+		return false
+	}
+	entered := r.enter(ctx) || r.retryEnter(ctx)
+	if entered {
+		r.epoch = epoch
+		r.agent.Log.Emit(wharfevents.EntryRewritten, wharfevents.Field{Name: "epoch", Value: epoch})
 	}
+	return entered
 }
 
 // retryEnter repeats enter until it succeeds. It returns false if the context ends
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -90,6 +90,7 @@
 
 	NodeUnresponsive     = Event{5010, "node-silent", log.WarnLevel, "node is unresponsive and accepts no connection"}
 	NodeResponsive       = Event{5011, "node-answers", log.WarnLevel, "unresponsive node accepts connections again"}
+	EntryRewritten       = Event{5012, "entry-rewritten", log.InfoLevel, "entry of this node written again after the log was restored"}
 	DirectoryUnavailable = Event{5009, "directory-unavailable", log.WarnLevel, "directory of nodes can't be read or written"}
 )
 
@@ -103,7 +104,7 @@
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
 	MemberDown, MemberChanged, DownRefuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationRaised,
-	DirectoryUnavailable, NodeUnresponsive, NodeResponsive,
+	DirectoryUnavailable, EntryRewritten, NodeUnresponsive, NodeResponsive,
 }
 
 // Log writes events to a logger. The zero Log writes nothing.
