--- a/wharfnode/main.go
+++ b/wharfnode/main.go
@@ -13,12 +13,17 @@
 	"ragwortwharf.dev/wharfnode/wharfsettings"
 )
 
-// reservedMemory is the memory that a VM reserves for the process, in bytes. It is the
-// bound that the users set for control on a node.
-const reservedMemory = 128 << 20
+const (
+	// reservedMemory is the memory that a VM reserves for the process, in bytes. It is the
+	// bound that the users set for control on a node.
+	reservedMemory = 128 << 20
+	// runtimePercent leaves 16 MB of it for what the runtime doesn't count. A full table
+	// of keys needs the rest, see docs/CAPACITY.md.
+	runtimePercent = 87
+)
 
 func main() {
-	wharfmemory.SetLimit(reservedMemory)
+	wharfmemory.SetLimit(reservedMemory, runtimePercent)
 	os.Exit(run())
 }
 
--- a/wharfnode/wharfmemory/limit_test.go
+++ b/wharfnode/wharfmemory/limit_test.go
@@ -23,7 +23,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			debug.SetMemoryLimit(before)
-			is.Equal(SetLimit(tc.available), tc.limit)
+			is.Equal(SetLimit(tc.available, 70), tc.limit)
 			want := tc.limit
 			if want == 0 {
 				want = before
