Gossip with two different nodes of the failure domain in a round

Cause: the monitored node of a round and the random node of the failure domain were chosen independently, so in a small domain a round often called one node twice and the other only with its next round, up to 1.5 s later. Ruled out: a failed write of the entry (none failed), the random spread of the writes (12 ms with three nodes). Before: TestGossipPeersDiffer fails in three of four rows. After: it passes.

--- a/wharf/wharfmember/neighbours.go
+++ b/wharf/wharfmember/neighbours.go
@@ -44,20 +44,20 @@
 		return Member{}, false
 	}
 	slices.Sort(domains)
-	return t.randomOf(domains[rng.IntN(len(domains))], self, rng)
+	return t.randomOf(domains[rng.IntN(len(domains))], nil, rng)
 }
 
-// RandomLocal returns a random node of the failure domain of self. Exchanges with
-// such nodes propagate changes in a number of gossip rounds that grows with the
-// logarithm of the size of the failure domain.
-func (t *Table) RandomLocal(self string, rng *rand.Rand) (Member, bool) {
-	return t.randomOf(t.members[self].FailureDomain, self, rng)
+// RandomLocal returns a random node of the failure domain of self, other than self and
+// another node. Exchanges with such nodes propagate changes in a number of gossip rounds
+// that grows with the logarithm of the size of the failure domain.
+func (t *Table) RandomLocal(self, other string, rng *rand.Rand) (Member, bool) {
+	return t.randomOf(t.members[self].FailureDomain, []string{self, other}, rng)
 }
 
 // randomOf returns a node of a failure domain that is alive or leaving. It searches
 // from a random position and checks at most maxSearch nodes, so it may find none
 // if few nodes are alive.
-func (t *Table) randomOf(domain, except string, rng *rand.Rand) (Member, bool) {
+func (t *Table) randomOf(domain string, except []string, rng *rand.Rand) (Member, bool) {
 	const maxSearch = 64
 	nodes := t.domains[domain]
 	if len(nodes) == 0 {
@@ -66,7 +66,7 @@
 	start := rng.IntN(len(nodes))
 	for i := range min(len(nodes), maxSearch) {
 		m := t.members[nodes[(start+i)%len(nodes)]]
-		if m.Node != except && (m.State == Alive || m.State == Leaving) {
+		if !slices.Contains(except, m.Node) && (m.State == Alive || m.State == Leaving) {
 			return m, true
 		}
 	}
--- a/wharfnode/internal/wharfview/members.go
+++ b/wharfnode/internal/wharfview/members.go
@@ -124,16 +124,18 @@
 }
 
 // GossipPeers returns the peers of one gossip round: one of the nodes that this
-// node monitors for failures (see wharfmember.Table.Monitored), in turn, one random
+// node monitors for failures (see wharfmember.Table.Monitored), in turn, another random
 // node of the same failure domain and one of another failure domain.
 func (v *View) GossipPeers(round int, rng *rand.Rand) []wharfmember.Member {
 	v.membersMu.Lock()
 	defer v.membersMu.Unlock()
 	var out []wharfmember.Member
+	var next wharfmember.Member
 	if monitored := v.members.Monitored(v.node); len(monitored) > 0 {
-		out = append(out, monitored[round%len(monitored)])
+		next = monitored[round%len(monitored)]
+		out = append(out, next)
 	}
-	if m, ok := v.members.RandomLocal(v.node, rng); ok {
+	if m, ok := v.members.RandomLocal(v.node, next.Node, rng); ok {
 		out = append(out, m)
 	}
 	if m, ok := v.members.RandomRemote(v.node, rng); ok {
