Ask the node that is ahead for its state

Cause: a node that hears from another of a later state started a round with random nodes, which often lag as well. It lacks the state until a later round meets a node that has it. This matters where the records can't be pushed with the request: after a restore of the log, or more than eight records behind. Before: TestNextRoundCallsNodeThatIsAhead fails. After: it passes.

--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -78,6 +78,8 @@
 	detector wharfmember.FailureDetector
 	updates  []memberUpdate
 	departed departedNodes
+	// ahead is a node with a later state, from which the next round gets it.
+	ahead string
 }
 
 // Prepare initializes the agent. It must be called before any other method.
--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -114,6 +114,7 @@
 		a.reportFailure(wharfmember.FailureReport{Subject: report.GetSubject(), Incarnation: report.GetIncarnation(), Reporter: report.GetReporter()})
 	}
 	if r.GetConfigOffset() > a.View.State().Offset() {
+		a.setAhead(r.GetFrom())
 		a.TriggerRound()
 	}
 	// The wire name of a request to join is Introduction.
@@ -130,6 +131,22 @@
 	return response, nil
 }
 
+// setAhead records that a node has a later state than this one.
+func (a *Agent) setAhead(node string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ahead = node
+}
+
+// takeAhead returns the node that setAhead recorded last, once.
+func (a *Agent) takeAhead() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	node := a.ahead
+	a.ahead = ""
+	return node
+}
+
 // joinResponse returns the entry of this node and those of some other members
 // to a joining node.
 func (a *Agent) joinResponse() *wharfwire.ExchangeResponse {
--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -94,9 +94,23 @@
 	}
 }
 
-func (r *rounds) round(ctx context.Context) {
+// peers returns the peers of the next round. A node that turned out to be ahead of this one
+// is among them, because random peers may lag as well.
+func (r *rounds) peers() []wharfmember.Member {
 	r.count++
 	peers := r.agent.View.GossipPeers(r.count, r.rng)
+	ahead := r.agent.takeAhead()
+	if slices.ContainsFunc(peers, func(p wharfmember.Member) bool { return p.Node == ahead }) {
+		return peers
+	}
+	if m, ok := r.agent.View.Member(ahead); ok {
+		peers = append(peers, m)
+	}
+	return peers
+}
+
+func (r *rounds) round(ctx context.Context) {
+	peers := r.peers()
 	if len(peers) == 0 {
 		r.agent.join(ctx)
 		return
--- /dev/null
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -0,0 +1,41 @@
+package wharfcluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharfview"
+)
+
+// TestNextRoundCallsNodeThatIsAhead guards against a node that hears of a later state and
+// then asks only nodes that lag as well.
+func TestNextRoundCallsNodeThatIsAhead(t *testing.T) {
+	is := is.New(t)
+	const nodes = 50
+	a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
+	a.Prepare()
+	for i := range nodes {
+		a.View.Merge([]wharfmember.Member{{Node: fmt.Sprintf("n%02d", i), FailureDomain: "d"}})
+	}
+	r := &rounds{agent: a, rng: rand.New(rand.NewPCG(1, 2))}
+	for i := 1; i < nodes; i++ {
+		ahead := fmt.Sprintf("n%02d", i)
+		_, err := a.Exchange(context.Background(), &wharfwire.ExchangeRequest{From: ahead, ConfigOffset: 1 << 40})
+		is.NoErr(err)
+		calls := 0
+		for range 2 {
+			if slices.ContainsFunc(r.peers(), func(m wharfmember.Member) bool { return m.Node == ahead }) {
+				calls++
+			}
+		}
+		is.True(calls >= 1)
+	}
+}
