--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -202,6 +202,7 @@
 	wharftarget.MergeSuspicions(a.Quarantine, r.GetSuspicions())
 }
 
+// restoreSnapshot replaces the state by a later one and passes it on at once.
 func (a *Agent) restoreSnapshot(peer string, data []byte) {
 	s, err := wharfstate.Restore(data)
 	if err != nil {
@@ -210,6 +211,7 @@
 	}
 	if a.View.Restore(s) {
 		a.Log.Emit(wharfevents.SnapshotAdopted, a.stateFields(peer)...)
+		a.TriggerRound()
 	}
 }
 
--- a/wharfnode/internal/wharfcluster/round_test.go
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -11,6 +11,9 @@
 
 	"ragwortwharf.dev/wharf/wharfmember"
 	"ragwortwharf.dev/wharf/wharfquarantine"
+	"ragwortwharf.dev/wharf/wharfroute"
+	"ragwortwharf.dev/wharf/wharfstate"
+	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
 )
@@ -39,3 +42,33 @@
 		is.True(calls >= 1)
 	}
 }
+
+// TestStateIsPassedOnAtOnce guards against a later state that a node doesn't pass on before
+// its next regular round, because it got the state as a snapshot.
+func TestStateIsPassedOnAtOnce(t *testing.T) {
+	is := is.New(t)
+	routes := wharfstate.Envelope{Routes: &wharfroute.Set{Version: 1}}
+	data, err := routes.Encode()
+	is.NoErr(err)
+	records := []wharfstream.Record{{Offset: 1, Data: data}}
+	var state *wharfstate.State
+	snapshot, err := state.WithRecords(records).Save()
+	is.NoErr(err)
+	tests := []struct {
+		name     string
+		response *wharfwire.ExchangeResponse
+	}{
+		{"records", &wharfwire.ExchangeResponse{Records: packRecords(records)}},
+		{"snapshot", &wharfwire.ExchangeResponse{Snapshot: snapshot}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
+			a.Prepare()
+			a.applyResponse("n01", tc.response)
+			is.Equal(a.View.State().Offset(), uint64(1))
+			is.Equal(len(a.urgent), 1)
+		})
+	}
+}
