Let other connections run before each request

A connection that is refused and has its next request ready never leaves the local run queue, and all other goroutines, the reads of admitted responses first, wait for seconds. Each request now begins at the end of the global queue.

--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -188,7 +188,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           h,
+		Handler:           yieldingHandler{h},
 		Protocols:         protocols,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
