Don't spend a probe on a request that the admission level refuses

Cause: the gate lets one request a second in to correct an outdated latency. It chose it before it asked the admission level. While the level refused the rank, each probe was refused as well, and once the level admitted the rank again, the next probe came up to a second later: two recoveries one after the other. Ruled out: the level alone (in the trace it admits the rank again 5 s after the disturbance, and the refusals go on for the deadline), a probe that is too slow to count (none ran).

--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -310,8 +310,17 @@
 	if now.Before(latest) {
 		return true
 	}
-	probe := g.latency[t.Rank].probe(now, t.ID)
-	return probe && now.Before(t.Deadline.Add(-responseMargin))
+	return now.Before(t.Deadline.Add(-responseMargin)) && g.probes(now, t)
+}
+
+// probes reports whether a request is let in to measure the latency of its rank again. One
+// that the admission level refuses would measure nothing.
+func (g *Gate) probes(now time.Time, t Ticket) bool {
+	latency := &g.latency[t.Rank]
+	if !latency.isProbe(t.ID) && g.cfg.Levels && t.Priority > g.level.Threshold() {
+		return false
+	}
+	return latency.probe(now, t.ID)
 }
 
 // uncontended reports whether there is a free slot for a request and no other
