--- a/wharf/wharfmember/neighbours.go
+++ b/wharf/wharfmember/neighbours.go
@@ -47,11 +47,11 @@
 	return t.randomOf(domains[rng.IntN(len(domains))], nil, rng)
 }
 
-// RandomLocal returns a random node of the failure domain of self, other than self and
-// another node. Exchanges with such nodes propagate changes in a number of gossip rounds
+// RandomLocal returns a random node of the failure domain of self, except self and one
+// other node. Exchanges with such nodes propagate changes in a number of gossip rounds
 // that grows with the logarithm of the size of the failure domain.
-func (t *Table) RandomLocal(self, other string, rng *rand.Rand) (Member, bool) {
-	return t.randomOf(t.members[self].FailureDomain, []string{self, other}, rng)
+func (t *Table) RandomLocal(self, except string, rng *rand.Rand) (Member, bool) {
+	return t.randomOf(t.members[self].FailureDomain, []string{self, except}, rng)
 }
 
 // randomOf returns a node of a failure domain that is alive or leaving. It searches
