--- a/wharf/wharfadmission/backpressure.go
+++ b/wharf/wharfadmission/backpressure.go
@@ -93,7 +93,7 @@
 // admitted.
 func (b *Backpressure) AdmittedShare(now time.Time, rank int) float64 {
 	b.advanceWindows(now)
-	return 1 - b.rejectedShare[min(max(rank, 0), rankCount-1)]
+	return 1 - b.rejectedShare[clampRank(rank)]
 }
 
 // advanceWindows evaluates the windows that have ended.
--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -39,12 +39,12 @@
 // shares anew if a window has ended.
 func (s *CapacityShares) RecordArrival(now time.Time, rank int, g *Gate) {
 	s.advance(now, g)
-	s.arrivals[min(max(rank, 0), rankCount-1)]++
+	s.arrivals[clampRank(rank)]++
 }
 
 // Admitted returns the share of the client requests of a rank that the target can serve.
 func (s *CapacityShares) Admitted(rank int) float64 {
-	return 1 - s.rejected[min(max(rank, 0), rankCount-1)]
+	return 1 - s.rejected[clampRank(rank)]
 }
 
 // advance evaluates the windows that have ended.
--- a/wharf/wharfadmission/downstreamshares.go
+++ b/wharf/wharfadmission/downstreamshares.go
@@ -34,7 +34,7 @@
 // Observe records the share that the response to a call reported for the rank of its
 // client request.
 func (s *DownstreamShares) Observe(now time.Time, rank int, admitted float64) {
-	k := &s.ranks[min(max(rank, 0), rankCount-1)]
+	k := &s.ranks[clampRank(rank)]
 	earlier := math.Exp2(-now.Sub(k.at).Seconds() / shareHalfLife.Seconds())
 	k.admitted = admitted + earlier*(k.admitted-admitted)
 	k.at = now
@@ -42,7 +42,7 @@
 
 // Admitted returns the share of the client requests of a rank to admit.
 func (s *DownstreamShares) Admitted(now time.Time, rank int) float64 {
-	k := s.ranks[min(max(rank, 0), rankCount-1)]
+	k := s.ranks[clampRank(rank)]
 	if k.at.IsZero() {
 		return 1
 	}
--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -117,7 +117,7 @@
 // start or refuse other waiting requests.
 func (g *Gate) Offer(now time.Time, t Ticket) Effects {
 	var fx Effects
-	t.Rank = min(max(t.Rank, 0), rankCount-1)
+	t.Rank = clampRank(t.Rank)
 	g.advanceWindows(now)
 	if !g.canFinish(now, t) {
 		g.refuse(&fx, t.ID, wharfoutcome.ReasonDeadline)
@@ -335,14 +335,14 @@
 
 // estimate returns the usual latency of a rank, zero if it is unknown.
 func (g *Gate) estimate(rank int) time.Duration {
-	return time.Duration(g.latency[min(max(rank, 0), rankCount-1)].seconds * float64(time.Second))
+	return time.Duration(g.latency[clampRank(rank)].seconds * float64(time.Second))
 }
 
 // LatestStart returns the time from which a waiting request is refused. After
 // that time the target could not answer before the deadline, while a refusal still
 // reaches the caller in time.
 func (g *Gate) LatestStart(t Ticket) time.Time {
-	if g.latency[min(max(t.Rank, 0), rankCount-1)].isProbe(t.ID) {
+	if g.latency[clampRank(t.Rank)].isProbe(t.ID) {
 		return t.Deadline.Add(-responseMargin)
 	}
 	return t.Deadline.Add(-max(g.estimate(t.Rank), responseMargin))
--- a/wharf/wharfadmission/level.go
+++ b/wharf/wharfadmission/level.go
@@ -24,7 +24,7 @@
 // PriorityOf returns the priority of a request. requestHash is a hash of the ID of
 // the user request.
 func PriorityOf(rank int, requestHash uint64) Priority {
-	rank = min(max(rank, 0), rankCount-1)
+	rank = clampRank(rank)
 	return Priority(rank*bucketsPerRank) + Priority(requestHash%bucketsPerRank)
 }
 
--- a/wharf/wharfadmission/limiter.go
+++ b/wharf/wharfadmission/limiter.go
@@ -94,6 +94,11 @@
 // LastRank is the least important rank.
 const LastRank = rankCount - 1
 
+// clampRank bounds a rank to the range from zero to LastRank.
+func clampRank(rank int) int {
+	return min(max(rank, 0), LastRank)
+}
+
 // rankLatency holds one moving average of latency per rank, in seconds, because
 // requests of different classes take different times.
 type rankLatency [rankCount]float64
