Log and count what a node learns of crashes and quarantines

Events 3011 (quarantine received), 3012 (suspicion cleared) and 3013 (crash ruled out); the crash's line has the request, its fingerprint and the crash's number, failed attempts and refused calls have the fingerprint. Lines about crashes and quarantines aren't dropped. Metrics: crashes, suspected and quarantined requests. No change of behaviour.

--- a/wharf/wharfquarantine/entry.go
+++ b/wharf/wharfquarantine/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -16,6 +17,11 @@
 // Fingerprint identifies a request and all its resends.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal, as in logs and the audit trail.
+func (f Fingerprint) String() string {
+	return strconv.FormatUint(uint64(f), 16)
+}
+
 // CrashID identifies one crash of one target.
 type CrashID struct {
 	// Target is the address of the target that crashed.
--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -67,15 +67,17 @@
 	return e, true
 }
 
-// Merge merges an entry of another node. It ignores an expired one.
-func (l *List) Merge(now time.Time, other Entry) {
+// Merge merges an entry of another node. It ignores an expired one. It reports whether
+// the request has become quarantined by it.
+func (l *List) Merge(now time.Time, other Entry) bool {
 	s := l.shard(other.Fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !now.Before(other.Expires) {
-		return
+		return false
 	}
 	e := s.get(now, other.Fingerprint)
+	before := e.Quarantined
 	for _, c := range other.Crashes {
 		e, _ = e.withCrash(c)
 	}
@@ -84,6 +86,7 @@
 		e.Expires = other.Expires
 	}
 	s.put(now, e)
+	return e.Quarantined && !before
 }
 
 // RecordSuccess clears a suspected request that completed without a crash. It
@@ -158,6 +161,26 @@
 	return out
 }
 
+// Counts is how many requests of a List are suspected or quarantined.
+type Counts struct {
+	// Suspected doesn't include the quarantined ones.
+	Suspected, Quarantined int
+}
+
+// Counts counts the requests that are suspected or quarantined.
+func (l *List) Counts(now time.Time) Counts {
+	var n Counts
+	for _, e := range l.Entries(now) {
+		switch {
+		case e.Quarantined:
+			n.Quarantined++
+		case e.Suspected():
+			n.Suspected++
+		}
+	}
+	return n
+}
+
 // Sample returns at most n entries: quarantined ones first, in random order within
 // each kind. The random order ensures that repeated samples reach the other nodes
 // with every entry.
--- a/wharf/wharfquarantine/list_test.go
+++ b/wharf/wharfquarantine/list_test.go
@@ -201,3 +201,18 @@
 	}
 	is.New(t).True(len(l.Entries(epoch)) <= maxEntries)
 }
+
+// TestMergeReportsQuarantine checks that Merge reports a request once, when it becomes
+// quarantined, and that Counts agrees.
+func TestMergeReportsQuarantine(t *testing.T) {
+	is := is.New(t)
+	var l List
+	entry := func(target string) Entry {
+		return Entry{Fingerprint: 1, Crashes: []Crash{{CrashID: crash(target, 1)}}, Expires: epoch.Add(time.Minute)}
+	}
+	is.True(!l.Merge(epoch, entry("a")))
+	is.Equal(l.Counts(epoch), Counts{Suspected: 1})
+	is.True(l.Merge(epoch, entry("b")))
+	is.Equal(l.Counts(epoch), Counts{Quarantined: 1})
+	is.True(!l.Merge(epoch, entry("b")))
+}
--- a/wharfnode/internal/wharfadmin/quarantine.go
+++ b/wharfnode/internal/wharfadmin/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfquarantine"
@@ -41,7 +40,7 @@
 
 func suspectOf(e wharfquarantine.Entry) Suspect {
 	s := Suspect{
-		Fingerprint: strconv.FormatUint(uint64(e.Fingerprint), 16),
+		Fingerprint: e.Fingerprint.String(),
 		Quarantined: e.Quarantined, Expires: e.Expires, Crashes: []Crash{},
 	}
 	for _, c := range e.Crashes {
--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -109,7 +109,7 @@
 	a.mergeMembers(unpackMembers(r.GetMembers()))
 	a.applyRecords(r.GetFrom(), unpackRecords(r.GetRecords()))
 	a.confirm(now, r.GetFreshness())
-	wharftarget.MergeSuspicions(a.Quarantine, r.GetSuspicions())
+	wharftarget.MergeSuspicions(a.Quarantine, a.Log, r.GetSuspicions())
 	for _, report := range r.GetAccusations() {
 		a.reportFailure(wharfmember.FailureReport{Subject: report.GetSubject(), Incarnation: report.GetIncarnation(), Reporter: report.GetReporter()})
 	}
@@ -199,7 +199,7 @@
 	}
 	a.applyRecords(peer, unpackRecords(r.GetRecords()))
 	a.confirm(now, r.GetFreshness())
-	wharftarget.MergeSuspicions(a.Quarantine, r.GetSuspicions())
+	wharftarget.MergeSuspicions(a.Quarantine, a.Log, r.GetSuspicions())
 }
 
 // restoreSnapshot replaces the state by a later one and passes it on at once.
--- a/wharfnode/internal/wharfproxy/log.go
+++ b/wharfnode/internal/wharfproxy/log.go
@@ -62,5 +62,6 @@
 		wharfevents.Field{Name: "outcome", Value: r.outcome.Kind.String()},
 		wharfevents.Field{Name: "reason", Value: string(r.outcome.Reason)},
 		wharfevents.Field{Name: "arrived", Value: r.arrived},
+		wharfevents.Field{Name: "fingerprint", Value: c.fingerprint.String()},
 		wharfevents.Field{Name: "attempt-ms", Value: r.latency.Milliseconds()})...)
 }
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
@@ -84,9 +83,17 @@
 	}
 }
 
-// acceptsConnections reports whether the target accepts a new connection.
+// acceptsConnections reports whether the target accepts a new connection, which rules out
+// a crash, and logs that.
 func (s *Server) acceptsConnections(c *call) bool {
-	return wharfsocket.CanConnect(c.ctx, c.target.address, probeTimeout)
+	accepts := wharfsocket.CanConnect(c.ctx, c.target.address, probeTimeout)
+	if accepts {
+		s.Log.Emit(wharfevents.CrashRuledOut,
+			wharfevents.Field{Name: "target", Value: c.target.address},
+			wharfevents.Field{Name: "request", Value: c.head.GetRequestId()},
+			fingerprintField(c.fingerprint))
+	}
+	return accepts
 }
 
 // reportCrash records a crash of the target, marks the requests in flight as suspects
@@ -100,7 +107,11 @@
 	address := c.target.address
 	s.Log.Emit(wharfevents.TargetCrashed,
 		wharfevents.Field{Name: "target", Value: address},
+		wharfevents.Field{Name: "number", Value: crashNumber},
+		wharfevents.Field{Name: "request", Value: c.head.GetRequestId()},
+		fingerprintField(c.fingerprint),
 		wharfevents.Field{Name: "in-flight", Value: len(fingerprints)})
+	s.Metrics.TargetCrash()
 	id := wharfquarantine.CrashID{Target: address, Incarnation: s.View.Incarnation(), Number: crashNumber}
 	entries := s.Quarantine.RecordCrash(time.Now(), id, fingerprints)
 	s.reportQuarantined(entries)
@@ -123,7 +134,7 @@
 		if !e.Quarantined {
 			continue
 		}
-		fp := wharfevents.Field{Name: "fingerprint", Value: strconv.FormatUint(uint64(e.Fingerprint), 16)}
+		fp := fingerprintField(e.Fingerprint)
 		s.Log.Emit(wharfevents.RequestQuarantined, fp)
 		s.Auditor.Audit("quarantine", fp)
 	}
@@ -132,6 +143,9 @@
 // recordSuccess clears the suspicion of a request that completed without a crash.
 func (s *Server) recordSuccess(c *call) {
 	if e, cleared := s.Quarantine.RecordSuccess(time.Now(), c.fingerprint); cleared {
+		s.Log.Emit(wharfevents.SuspicionCleared,
+			wharfevents.Field{Name: "request", Value: c.head.GetRequestId()},
+			fingerprintField(c.fingerprint))
 		s.broadcast(c, []wharfquarantine.Entry{e})
 	}
 }
--- a/wharfnode/internal/wharftarget/peer.go
+++ b/wharfnode/internal/wharftarget/peer.go
@@ -10,6 +10,7 @@
 	"ragwortwharf.dev/wharf/wharfidempotency"
 	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
 // Consult returns this node's entry of a key. If no request with the key was dispatched
@@ -28,7 +29,7 @@
 
 // Suspect merges the suspicions of another node about requests that crash targets.
 func (s *Server) Suspect(_ context.Context, r *wharfwire.SuspectRequest) (*wharfwire.SuspectResponse, error) {
-	MergeSuspicions(s.Quarantine, r.GetSuspicions())
+	MergeSuspicions(s.Quarantine, s.Log, r.GetSuspicions())
 	return &wharfwire.SuspectResponse{}, nil
 }
 
@@ -81,15 +82,23 @@
 	return out
 }
 
-// MergeSuspicions merges quarantine entries in their message form into a list.
-func MergeSuspicions(l *wharfquarantine.List, suspicions []*wharfwire.Suspicion) {
+// MergeSuspicions merges quarantine entries in their message form into a list, and logs
+// the requests that are quarantined because of them.
+func MergeSuspicions(l *wharfquarantine.List, log wharfevents.Log, suspicions []*wharfwire.Suspicion) {
 	now := time.Now()
 	for _, x := range suspicions {
-		l.Merge(now, wharfquarantine.Entry{
+		e := wharfquarantine.Entry{
 			Fingerprint: wharfquarantine.Fingerprint(x.GetFingerprint()),
 			Crashes:     unpackCrashes(x.GetCrashes()),
 			Quarantined: x.GetQuarantined(),
 			Expires:     now.Add(time.Duration(x.GetTtlMs()) * time.Millisecond),
-		})
+		}
+		if l.Merge(now, e) {
+			log.Emit(wharfevents.QuarantineReceived, fingerprintField(e.Fingerprint))
+		}
 	}
 }
+
+func fingerprintField(f wharfquarantine.Fingerprint) wharfevents.Field {
+	return wharfevents.Field{Name: "fingerprint", Value: f.String()}
+}
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -193,6 +193,7 @@
 		{Name: "outcome", Value: o.Kind.String()},
 		{Name: "reason", Value: string(o.Reason)},
 		{Name: "arrived", Value: c.arrived},
+		fingerprintField(c.fingerprint),
 		{Name: "deadline-ms", Value: time.Until(c.deadline).Milliseconds()},
 	}
 	if load != nil {
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -59,6 +59,9 @@
 	TargetRateLimited   = Event{3009, "target-rate-limited", log.WarnLevel, "target named a rate limit"}
 	TargetRateLifted    = Event{3010, "target-rate-lifted", log.InfoLevel, "target names no rate limit any more"}
 	RequestQuarantined  = Event{3006, "request-quarantined", log.ErrorLevel, "request quarantined for crashing targets"}
+	QuarantineReceived  = Event{3011, "quarantine-received", log.ErrorLevel, "request quarantined by what another node reported"}
+	SuspicionCleared    = Event{3012, "suspicion-cleared", log.WarnLevel, "suspected request completed without a crash"}
+	CrashRuledOut       = Event{3013, "crash-ruled-out", log.WarnLevel, "connection to the target lost, but the target accepts others"}
 )
 
 // Events of configuration and the platform's log.
@@ -100,7 +103,7 @@
 	BadRequest, LateResponse, ResponseIncomplete, DispatchFailed,
 	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
 	TargetAnnounced, TargetLeaving, TargetExpired, AnnouncementRefused, TargetCrashed, TargetUnresponsive, TargetResponsive, RequestQuarantined,
-	TargetRateLimited, TargetRateLifted,
+	TargetRateLimited, TargetRateLifted, QuarantineReceived, SuspicionCleared, CrashRuledOut,
 	ConfigAdvanced, LogUnavailable, LogAvailable, RecordsExpired,
 	SnapshotWritten, SnapshotAdopted, AppendUncertain, SnapshotRefused, AuditUnavailable, ConfigRefused,
 	MemberDown, MemberChanged, DownRefuted, OwnershipTaken, OwnershipEnded, KeysHandedOver, HandOverFailed, IncarnationRaised,
@@ -118,8 +121,8 @@
 }
 
 // NewLog returns a log that writes to a logger with a rate-limited handler. Events of the
-// process itself, of the configuration in force and of the platform's log are never
-// dropped.
+// process itself, of the configuration in force, of the platform's log and of crashes of
+// targets are never dropped.
 func NewLog(logger log.Interface, handler *wharfcli.RateLimitedHandler) Log {
 	handler.Essential = isEssential
 	return Log{Logger: logger, Dropped: handler.Dropped, Saturated: handler.Saturated}
@@ -130,8 +133,12 @@
 const firstRequestEvent = 2000
 
 // essentialLogEvents are those events about the configuration and the platform's log
-// that are logged once for each change.
-var essentialLogEvents = []Event{ConfigAdvanced, LogUnavailable, LogAvailable, SnapshotAdopted, ConfigRefused}
+// that are logged once for each change, and those about crashes of targets, of which there
+// are at most as many for a crash as requests in flight.
+var essentialLogEvents = []Event{
+	ConfigAdvanced, LogUnavailable, LogAvailable, SnapshotAdopted, ConfigRefused,
+	TargetCrashed, RequestQuarantined, QuarantineReceived,
+}
 
 // isEssential reports whether an entry is written whatever the number of entries in the
 // present second.
--- a/wharfnode/wharfevents/metrics.go
+++ b/wharfnode/wharfevents/metrics.go
@@ -90,6 +90,14 @@
 	m.outcome("wharf_dispatches_total", class, o).Inc()
 }
 
+// TargetCrash counts a crash of the target on this VM.
+func (m Metrics) TargetCrash() {
+	if m.set == nil {
+		return
+	}
+	m.set.GetOrCreateCounter("wharf_target_crashes_total").Inc()
+}
+
 // ControlBytes counts the bytes sent or received in the exchanges that this node
 // started.
 func (m Metrics) ControlBytes(direction string, bytes int) {
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -164,6 +164,8 @@
 	metrics.Gauge("wharf_state_offset", func() float64 { return float64(n.view.State().Offset()) })
 	metrics.Gauge("wharf_routes_version", func() float64 { return float64(n.view.State().Routes().Version()) })
 	metrics.Gauge("wharf_state_age_seconds", n.stateAge)
+	metrics.Gauge("wharf_suspected_requests", func() float64 { return float64(n.agent.Quarantine.Counts(time.Now()).Suspected) })
+	metrics.Gauge("wharf_quarantined_requests", func() float64 { return float64(n.agent.Quarantine.Counts(time.Now()).Quarantined) })
 	metrics.Gauge("wharf_keys", func() float64 { return float64(keys.Len()) })
 	metrics.Gauge("wharf_key_bytes", func() float64 { return float64(keys.Bytes()) })
 	metrics.Gauge("wharf_calls_in_flight", func() float64 { return float64(n.proxy.InFlight()) })
