Tell the nodes of a service in all failure domains of a crash

Cause: a crash was sent at once only to the nodes of the service in the same failure domain. Where each domain has one target, all else was left to gossip, whose messages carry 32 suspects at random; everything that was in flight at a crash stays suspected for two minutes.

A crash now goes to all nodes of the service that aren't known to be gone, before the sender of the request gets its response, with the same limit of 300 ms. The calls have workers of their own: those of the gossip rounds may all be waiting for unreachable nodes. That a suspicion was cleared is sent to the same nodes, but no longer delays the response that cleared it.

--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -63,8 +63,10 @@
 	Log           wharfevents.Log
 	Metrics       wharfevents.Metrics
 
-	pool  pond.Pool
-	audit auditTrail
+	pool pond.Pool
+	// broadcasts runs the calls that send suspicions.
+	broadcasts pond.Pool
+	audit      auditTrail
 	// urgent triggers a gossip round at once. It buffers one request.
 	urgent chan struct{}
 	// registered is closed after the first attempt to write the directory entry of
@@ -86,7 +88,7 @@
 // Targets can announce themselves and other nodes can call this node between
 // Prepare and Run.
 func (a *Agent) Prepare() {
-	a.pool = pond.NewPool(workers)
+	a.pool, a.broadcasts = pond.NewPool(workers), newBroadcastPool()
 	a.urgent = make(chan struct{}, 1)
 	a.registered, a.joined = make(chan struct{}), make(chan struct{})
 	a.audit.queue = make(chan AuditEntry, auditQueue)
@@ -112,6 +114,7 @@
 	}
 	group.Wait()
 	a.pool.StopAndWait()
+	a.broadcasts.StopAndWait()
 }
 
 // TriggerRound requests a gossip round at once. It doesn't block.
--- a/wharfnode/internal/wharfcluster/expiry.go
+++ b/wharfnode/internal/wharfcluster/expiry.go
@@ -5,10 +5,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
-	"ragwortwharf.dev/wharf/wharfquarantine"
 	"ragwortwharf.dev/wharf/wharftimer"
-	"ragwortwharf.dev/wharf/wharfwire"
-	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
 
@@ -85,36 +82,3 @@
 		p.agent.TriggerRound()
 	}
 }
-
-// BroadcastSuspicions sends suspicions about requests that crash targets to the
-// other nodes of a service in this failure domain. It returns when the calls to all
-// of them have succeeded or failed, or when the context ends.
-func (a *Agent) BroadcastSuspicions(ctx context.Context, service string, entries []wharfquarantine.Entry) {
-	request := &wharfwire.SuspectRequest{Suspicions: wharftarget.PackSuspicions(time.Now(), entries)}
-	group := a.pool.NewGroup()
-	for _, peer := range a.peersOf(service) {
-		group.Submit(func() {
-			client, err := a.Peers.Client(peer.Address)
-			if err != nil {
-				return
-			}
-			// An unreachable node gets the suspicions by gossip.
-			_, _ = client.Suspect(ctx, request)
-		})
-	}
-	_ = group.Wait()
-	a.TriggerRound()
-}
-
-// peersOf returns the other nodes of a service in this failure domain.
-func (a *Agent) peersOf(service string) []wharfmember.Member {
-	var out []wharfmember.Member
-	a.View.Members(func(t *wharfmember.Table) {
-		for _, member := range t.Serving(service) {
-			if member.Node != a.View.Node() && member.FailureDomain == a.View.Locality().FailureDomain {
-				out = append(out, member)
-			}
-		}
-	})
-	return out
-}
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -146,6 +146,6 @@
 		s.Log.Emit(wharfevents.SuspicionCleared,
 			wharfevents.Field{Name: "request", Value: c.head.GetRequestId()},
 			fingerprintField(c.fingerprint))
-		s.broadcast(c, []wharfquarantine.Entry{e})
+		s.Broadcaster.SendCleared(c.head.GetService(), e)
 	}
 }
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -28,9 +28,13 @@
 	Consult(ctx context.Context, owner wharfidempotency.Owner, id wharfidempotency.KeyID) (wharfidempotency.KeyEntry, error)
 }
 
-// broadcaster sends quarantine entries to the nodes of a service.
+// broadcaster sends quarantine entries to the other nodes of a service.
 type broadcaster interface {
+	// BroadcastSuspicions returns when the nodes have received the entries.
 	BroadcastSuspicions(ctx context.Context, service string, entries []wharfquarantine.Entry)
+	// SendCleared sends the entry of a request that isn't suspected any more, and
+	// doesn't wait.
+	SendCleared(service string, e wharfquarantine.Entry)
 }
 
 // auditor writes actions of the node to the audit log.
