Don't clear a suspicion after an error response of the target

Cause: any complete response cleared the suspicion, also the 504 of a run that a slow target had ended at its deadline and the 500 of one whose call had failed. Neither shows that the request is harmless. The entry node, in the same way, noted such a request as known safe, which lifted its exposure limit.

Only a response below 500 clears now.

--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -132,6 +132,13 @@
 	return Outcome{Kind: Unknown, Reason: reason}
 }
 
+// RanToEnd reports whether a response with an HTTP status shows that the target ran the
+// request to its end. An error of the target doesn't show it: the run may have been ended
+// early, for example at the deadline.
+func RanToEnd(status int) bool {
+	return status < http.StatusInternalServerError
+}
+
 // WithRetryAfter returns the outcome with a retry-after hint.
 func (o Outcome) WithRetryAfter(d time.Duration) Outcome {
 	o.RetryAfter = d
--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -19,8 +19,10 @@
 // attemptResult describes how one attempt ended.
 type attemptResult struct {
 	outcome wharfoutcome.Outcome
-	// delivered is true if the caller received the response.
+	// delivered is true if the caller received the response, and status is its HTTP
+	// status.
 	delivered bool
+	status    int
 	// sent is true if the node may have received the attempt.
 	sent bool
 	// arrived is true if the target received the attempt, or may have received
--- a/wharfnode/internal/wharfproxy/respond.go
+++ b/wharfnode/internal/wharfproxy/respond.go
@@ -156,7 +156,7 @@
 // recordDelivered counts and logs a delivered response and marks the result as
 // delivered.
 func (x *transfer) recordDelivered(result attemptResult, status int) attemptResult {
-	result.delivered = true
+	result.delivered, result.status = true, status
 	c := x.call
 	x.proxy.Metrics.Call(c.policy.Class.Name, result.outcome, time.Since(c.started))
 	x.proxy.logServed(c, x.target, status)
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -160,7 +160,9 @@
 	switch s.last.outcome.Kind {
 	case wharfoutcome.Completed:
 		s.proxy.retryBudget.Success()
-		s.proxy.markSafe(s.call)
+		if !s.last.delivered || wharfoutcome.RanToEnd(s.last.status) {
+			s.proxy.markSafe(s.call)
+		}
 	case wharfoutcome.Unknown:
 		s.uncertain, s.mayHaveRun = s.last.outcome, true
 		s.mayHaveCrashed = append(s.mayHaveCrashed, target.Address)
--- a/wharfnode/internal/wharftarget/response.go
+++ b/wharfnode/internal/wharftarget/response.go
@@ -95,7 +95,9 @@
 	}
 	stored.response.Complete = !stored.tooLarge
 	s.finishKey(c, wharfoutcome.Done(), &stored.response)
-	s.recordSuccess(c)
+	if wharfoutcome.RanToEnd(response.StatusCode) {
+		s.recordSuccess(c)
+	}
 	s.Metrics.Dispatch(c.head.GetClass(), wharfoutcome.Done())
 	p.next.End = responseEnd(&p.sum, c.attemptsLeft())
 	p.flush()
