Number the crashes of a node's targets throughout its life

Seen by callers: a request that crashes a target is sent to it again each time that it comes back, if it was away for longer than the target timeout (6 s on the users' platform). Cause: crashes were numbered from the registration of the target. After a new registration the first crash had the number of an earlier one, and the quarantine list, which counts each crash once, took it for that one.

The number now counts the crashes that the node has recorded, whichever target they are of.

--- a/wharf/wharfquarantine/entry.go
+++ b/wharf/wharfquarantine/entry.go
@@ -27,8 +27,7 @@
 	// Target is the address of the target that crashed.
 	Target string
 	// Incarnation is the incarnation of the node that detected the crash. Number
-	// counts the crashes of this target that the node has detected since the
-	// target was registered there, from 1.
+	// counts the crashes of all its targets that the node has detected, from 1.
 	Incarnation uint64
 	Number      int
 }
--- a/wharfnode/internal/wharfadmin/quarantine.go
+++ b/wharfnode/internal/wharfadmin/quarantine.go
@@ -22,7 +22,7 @@
 	// Target is the address of the target.
 	Target string `json:"target"`
 	// Incarnation is the incarnation of the node that detected the crash. Number
-	// counts the crashes of the target that this node has detected, from 1.
+	// counts the crashes of all its targets that this node has detected, from 1.
 	Incarnation uint64 `json:"incarnation"`
 	Number      int    `json:"number"`
 	// Cleared is whether the request has since completed without a crash. Its
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -203,19 +203,19 @@
 // recordCrash records a crash of the target, which the failure of call c has shown.
 // A crash aborts all requests in flight one after another, and only the first of
 // them counts as a new crash. recordCrash returns the fingerprints of the requests in
-// flight, or nil if the crash was already counted, and the number of crashes.
-func (t *target) recordCrash(c *call) ([]wharfquarantine.Fingerprint, int) {
+// flight, or nil if the crash was already counted.
+func (t *target) recordCrash(c *call) []wharfquarantine.Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.inFlight[c.id].crashes < t.crashes {
-		return nil, t.crashes
+		return nil
 	}
 	t.crashes++
 	var all []wharfquarantine.Fingerprint
 	for _, f := range t.inFlight {
 		all = append(all, f.fingerprint)
 	}
-	return all, t.crashes
+	return all
 }
 
 // load returns the load of the target as reported to the sender of c. The level is
--- a/wharfnode/internal/wharftarget/crash.go
+++ b/wharfnode/internal/wharftarget/crash.go
@@ -100,19 +100,20 @@
 // and sends the suspicions to the other nodes of the service, before the sender of
 // the call can retry it.
 func (s *Server) reportCrash(c *call) {
-	fingerprints, crashNumber := c.target.recordCrash(c)
+	fingerprints := c.target.recordCrash(c)
 	if fingerprints == nil {
 		return
 	}
+	number := int(s.crashes.Add(1))
 	address := c.target.address
 	s.Log.Emit(wharfevents.TargetCrashed,
 		wharfevents.Field{Name: "target", Value: address},
-		wharfevents.Field{Name: "number", Value: crashNumber},
+		wharfevents.Field{Name: "number", Value: number},
 		wharfevents.Field{Name: "request", Value: c.head.GetRequestId()},
 		fingerprintField(c.fingerprint),
 		wharfevents.Field{Name: "in-flight", Value: len(fingerprints)})
 	s.Metrics.TargetCrash()
-	id := wharfquarantine.CrashID{Target: address, Incarnation: s.View.Incarnation(), Number: crashNumber}
+	id := wharfquarantine.CrashID{Target: address, Incarnation: s.View.Incarnation(), Number: number}
 	entries := s.Quarantine.RecordCrash(time.Now(), id, fingerprints)
 	s.reportQuarantined(entries)
 	s.broadcast(c, entries)
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -74,6 +74,8 @@
 
 	joiners joiners
 	client  dispatcher
+	// crashes counts the crashes of targets that this node has recorded.
+	crashes atomic.Int64
 	lastID  atomic.Uint64
 	leaving atomic.Bool
 	calls   atomic.Int64
