Suspect requests that were cancelled but may still be running

Seen by callers (BUDGET, suspected): a request whose sender gives up before the target crashes was never suspected, so that nothing bounds its repeats. Cause: what a target runs was taken to be what has a call in flight. A target may go on with a run after its connection is closed, until the deadline.

A node keeps the fingerprints of cancelled calls until their deadline, at most 256 for a target, and counts them as in flight at a crash. TestAbandonedRequestIsSuspected: not quarantined after two crashes before, now is. What stays: if nothing else is in flight, nobody notices such a crash.

--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -1,6 +1,7 @@
 package wharftarget
 
 import (
+	"slices"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfadmission"
@@ -196,14 +197,28 @@
 func (t *target) endDispatch(c *call, latency time.Duration, result wharfadmission.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	delete(t.inFlight, c.id)
-	t.apply(t.gate.Finish(time.Now(), c.id, latency, result))
+	if result == wharfadmission.Cancelled && c.dispatched {
+		t.abandon(now, c)
+	}
+	t.apply(t.gate.Finish(now, c.id, latency, result))
+}
+
+// abandon records that a call was cancelled that the target may still run, and drops the
+// records that are not needed any more; the caller holds the lock.
+func (t *target) abandon(now time.Time, c *call) {
+	t.abandoned = slices.DeleteFunc(t.abandoned, func(r abandonedRequest) bool { return !now.Before(r.deadline) })
+	if extra := len(t.abandoned) + 1 - maxAbandoned; extra > 0 {
+		t.abandoned = slices.Delete(t.abandoned, 0, extra)
+	}
+	t.abandoned = append(t.abandoned, abandonedRequest{c.fingerprint, c.deadline})
 }
 
 // recordCrash records a crash of the target, which the failure of call c has shown.
 // A crash aborts all requests in flight one after another, and only the first of
-// them counts as a new crash. recordCrash returns the fingerprints of the requests in
-// flight, or nil if the crash was already counted.
+// them counts as a new crash. recordCrash returns the fingerprints of the requests that the
+// target may have been running, or nil if the crash was already counted.
 func (t *target) recordCrash(c *call) []wharfquarantine.Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -215,6 +230,13 @@
 	for _, f := range t.inFlight {
 		all = append(all, f.fingerprint)
 	}
+	now := time.Now()
+	for _, r := range t.abandoned {
+		if now.Before(r.deadline) {
+			all = append(all, r.fingerprint)
+		}
+	}
+	t.abandoned = nil
 	return all
 }
 
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -32,6 +32,9 @@
 	// the dispatched requests, both by call id.
 	waiters  map[uint64]chan admission
 	inFlight map[uint64]inFlightRequest
+	// abandoned holds the requests that the target may still run although their
+	// calls have ended, oldest first.
+	abandoned []abandonedRequest
 	// crashes is the number of crashes of the target that this node has seen.
 	crashes int
 	renewed time.Time
@@ -50,6 +53,17 @@
 	crashes int
 }
 
+// abandonedRequest is a request that was dispatched to a target and cancelled before the
+// target had responded. The target may run it until its deadline.
+type abandonedRequest struct {
+	fingerprint wharfquarantine.Fingerprint
+	deadline    time.Time
+}
+
+// maxAbandoned bounds the abandoned requests that are kept for a target. It is above the
+// number of requests that common targets run at once.
+const maxAbandoned = 256
+
 // Registry holds the targets that announced themselves to this node. It is safe for
 // concurrent use.
 type Registry struct {
