Refuse a request that is quarantined while it waits for a slot

Seen by callers (BUDGET, suspected): after three crashes a request still reaches targets. Cause: a node checks the quarantine when a call arrives; one that waits in the queue of its target, for up to its deadline, was dispatched whatever had been learned since. After the loss of targets the queues of the others are long.

The node checks again when the call gets its slot, and gives the slot back.

--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -125,6 +125,11 @@
 	started := time.Now()
 	// The latency of the target excludes the time it waited for downstream calls.
 	defer func() { c.target.endDispatch(c, time.Since(started)-c.downstream.DownstreamTime, result) }()
+	// The request may have been quarantined while it waited for a slot.
+	if o, pass := s.checkQuarantined(c); !pass {
+		s.abandonKey(c)
+		return o, false
+	}
 	if !c.target.beginDispatch(c) {
 		s.abandonKey(c)
 		return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving), false
--- a/wharfnode/internal/wharftarget/quarantine.go
+++ b/wharfnode/internal/wharftarget/quarantine.go
@@ -15,11 +15,10 @@
 // if its exposure limit, the bound on the targets that it may run on, excludes the
 // target. This happens when the sender did not know of the suspicion.
 func (s *Server) checkQuarantine(c *call) (wharfoutcome.Outcome, bool) {
-	now := time.Now()
-	if remaining, refused := s.Quarantine.Quarantined(now, c.fingerprint); refused {
-		return wharfoutcome.Refuse(wharfoutcome.ReasonQuarantined).WithRetryAfter(remaining), false
+	if o, pass := s.checkQuarantined(c); !pass {
+		return o, false
 	}
-	suspicion, suspected := s.Quarantine.Suspicion(now, c.fingerprint)
+	suspicion, suspected := s.Quarantine.Suspicion(time.Now(), c.fingerprint)
 	if !suspected || runsAtOwner(c) {
 		return wharfoutcome.Outcome{}, true
 	}
@@ -30,6 +29,14 @@
 	return wharfoutcome.Refuse(wharfoutcome.ReasonSuspected).WithRetryAfter(suspectRetryAfter), false
 }
 
+// checkQuarantined refuses a quarantined request.
+func (s *Server) checkQuarantined(c *call) (wharfoutcome.Outcome, bool) {
+	if remaining, quarantined := s.Quarantine.Quarantined(time.Now(), c.fingerprint); quarantined {
+		return wharfoutcome.Refuse(wharfoutcome.ReasonQuarantined).WithRetryAfter(remaining), false
+	}
+	return wharfoutcome.Outcome{}, true
+}
+
 // runsAtOwner reports whether a call can run on one node only, the owner of its key.
 func runsAtOwner(c *call) bool {
 	return !c.head.GetIdempotent() && !c.head.GetKeyMinted()
