--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -35,6 +35,9 @@
 	targetDialTimeout = time.Second
 	// maxIdleConns is the maximum number of idle connections to a target.
 	maxIdleConns = 256
+	// maxResponseHeaderBytes bounds the head of a response, in bytes, and so what a
+	// faulty target can make the node hold. The head of a request has the same bound.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // dispatcher sends requests to targets. The zero dispatcher is ready to use. It is
@@ -58,10 +61,11 @@
 
 func newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idle,
-		DialContext:         dialTarget,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		IdleConnTimeout:        idle,
+		DialContext:            dialTarget,
 	}
 }
 
