Send peers the newest routes also after a gap in the log

One cause: a node sends recent records to its peers only if their offsets follow those that it has sent before. After a restore of the log, or when history has expired, they don't, and each node has to hear that another is ahead and then ask for the state, a round later at every hop.

Routes are complete without the records in the gap, and a receiver without them ignores them, so they are sent. TestRecordsAfterGapAreSent: nothing sent before, applied by the peer now.

--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -64,12 +64,13 @@
 
 // recentRecords returns the records after an offset, for a peer that lags only
 // slightly. It returns none if there are more than maxRecentRecords. A peer that
-// lags further requests the records that it lacks.
+// lags further requests the records that it lacks. Records after a gap in the log are
+// returned as well, because routes are complete without those in the gap.
 func (a *Agent) recentRecords(since uint64) []*wharfwire.LogRecord {
-	if a.View.State().Offset()-since > maxRecentRecords {
+	records, _ := a.View.RecordsAfter(since, maxRecentBytes)
+	if len(records) > maxRecentRecords {
 		return nil
 	}
-	records, _ := a.View.RecordsAfter(since, maxRecentBytes)
 	return packRecords(records)
 }
 
--- a/wharfnode/internal/wharfcluster/round_test.go
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -66,3 +66,34 @@
 		})
 	}
 }
+
+// TestRecordsAfterGapAreSent guards against a state that spreads only as far as nodes ask
+// for it, because the log has a gap: it was restored from an older copy, or its history has
+// expired. The newest routes are complete without the records in the gap, so a node sends
+// them to its peers in the next round.
+func TestRecordsAfterGapAreSent(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after uint64
+	}{
+		{"no gap", 5, 6},
+		{"expired records", 5, 500},
+		{"log restored from a copy", wharfstream.OffsetIn(1, 5), wharfstream.OffsetIn(2, 3)},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
+			a.Prepare()
+			peer := wharfview.New(wharfmember.Member{Node: "n01", FailureDomain: "d"})
+			for i, offset := range []uint64{tc.before, tc.after} {
+				data, err := wharfstate.Envelope{Routes: &wharfroute.Set{Version: uint64(i + 1)}}.Encode()
+				is.NoErr(err)
+				since := a.View.State().Offset()
+				is.True(a.View.Apply([]wharfstream.Record{{Offset: offset, Data: data}}))
+				is.True(peer.Apply(unpackRecords(a.request(since).GetRecords())))
+				is.Equal(peer.State().Offset(), offset)
+			}
+		})
+	}
+}
--- a/wharfnode/internal/wharfview/view.go
+++ b/wharfnode/internal/wharfview/view.go
@@ -194,26 +194,33 @@
 }
 
 // RecordsAfter returns the kept records after an offset, up to maxBytes bytes of
-// data but at least one record. It returns false if some records after the offset
-// are no longer kept.
+// data but at least one record. The result is false if there are others after the offset
+// that are not kept, before those that are returned.
 func (v *View) RecordsAfter(offset uint64, maxBytes int) ([]wharfstream.Record, bool) {
 	v.stateMu.Lock()
 	defer v.stateMu.Unlock()
 	if v.state.Load().Offset() <= offset {
 		return nil, true
 	}
-	if len(v.records) == 0 || v.records[0].Offset > offset+1 {
+	if len(v.records) == 0 {
 		return nil, false
 	}
-	rest := v.records[offset+1-v.records[0].Offset:]
+	first := v.records[0].Offset
+	rest := v.records[max(offset+1, first)-first:]
+	return firstRecords(rest, maxBytes), first <= offset+1
+}
+
+// firstRecords returns the first of some records, up to maxBytes bytes of data but at least
+// one record.
+func firstRecords(records []wharfstream.Record, maxBytes int) []wharfstream.Record {
 	size := 0
-	for i, r := range rest {
+	for i, r := range records {
 		size += len(r.Data)
 		if size > maxBytes && i > 0 {
-			return rest[:i:i], true
+			return records[:i:i]
 		}
 	}
-	return rest[:len(rest):len(rest)], true
+	return records[:len(records):len(records)]
 }
 
 // notify wakes all goroutines that wait for a change.
