Tell others of a restored log in several gossip rounds

A node that gets a later state tells three others in one round at once. With 16 nodes some 4 in 100 are chosen by none; such a node heard of the restore at its next regular round, up to 1.5 s later, and only then wrote its entry again. Ruled out: the writes (the spread of 16 nodes is 64 ms) and the check of the epoch (100 ms).

After a rise of the epoch a node makes four rounds, 100 ms apart.

--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfmember"
+	"ragwortwharf.dev/wharf/wharfstream"
 	"ragwortwharf.dev/wharf/wharftimer"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/wharfevents"
@@ -20,6 +21,11 @@
 	minRoundInterval = 100 * time.Millisecond
 	// updateTTL is how long a changed member entry is sent with each exchange.
 	updateTTL = 3 * time.Second
+	// epochRounds is the number of rounds, one minRoundInterval after the other, in which
+	// a node tells others that the log was restored from an older copy. In one round, a
+	// node misses a given one of n others with the probability 1-3/n, so that after one
+	// round of each of them about one in 20 hasn't heard of it; after four, one in 100,000.
+	epochRounds = 4
 	// maxUpdates bounds the changed member entries sent with one exchange.
 	maxUpdates = 32
 	// maxSyncs bounds the exchanges that sync the member tables with one peer
@@ -41,6 +47,10 @@
 	// sentOffset is the log offset up to which records were sent in earlier
 	// rounds.
 	sentOffset uint64
+	// epoch is the latest epoch of the log that was sent, and epochRounds the number of
+	// rounds that follow at once to tell others of it.
+	epoch       uint64
+	epochRounds int
 }
 
 func (r *rounds) run(ctx context.Context) {
@@ -63,16 +73,23 @@
 		case <-r.agent.urgent:
 		}
 		r.round(ctx)
-		// The jitter keeps the rounds of different nodes out of step, so that
-		// they don't all call the same node at once.
-		pause := roundInterval/2 + time.Duration(r.rng.Int64N(int64(roundInterval)))
-		timer.Reset(pause)
+		timer.Reset(r.pause())
 		if !wharftimer.Sleep(ctx, minRoundInterval) {
 			return
 		}
 	}
 }
 
+// pause returns the time until the next regular round. The jitter keeps the rounds of
+// different nodes out of step, so that they don't all call the same node at once.
+func (r *rounds) pause() time.Duration {
+	if r.epochRounds > 0 {
+		r.epochRounds--
+		return minRoundInterval
+	}
+	return roundInterval/2 + time.Duration(r.rng.Int64N(int64(roundInterval)))
+}
+
 // join announces this node to the seeds and merges the few members that each
 // seed returns. The node gets all members and the state from those members
 // later, so that nodes that start together don't all fetch everything from a
@@ -117,6 +134,13 @@
 	}
 	since := r.sentOffset
 	r.sentOffset = r.agent.View.State().Offset()
+	if epoch := wharfstream.Epoch(r.sentOffset); epoch > r.epoch {
+		// The first epoch that a node knows is no news to others.
+		if since > 0 {
+			r.epochRounds = epochRounds - 1
+		}
+		r.epoch = epoch
+	}
 	group := r.agent.pool.NewGroup()
 	for _, p := range peers {
 		group.Submit(func() {
--- a/wharfnode/internal/wharfcluster/round_test.go
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -97,3 +97,30 @@
 		})
 	}
 }
+
+// TestNewEpochIsSentInSeveralRounds guards against a node that learns only at its next
+// regular round that the log was restored, because no other node happened to choose it.
+func TestNewEpochIsSentInSeveralRounds(t *testing.T) {
+	is := is.New(t)
+	a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
+	a.Prepare()
+	// The member can't be reached, so that the rounds end at once.
+	a.View.Merge([]wharfmember.Member{{Node: "n01", FailureDomain: "d", Address: "127.0.0.1:1"}})
+	r := &rounds{agent: a, rng: rand.New(rand.NewPCG(1, 2))}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	immediate := func() int {
+		r.round(ctx)
+		n := 0
+		for r.pause() == minRoundInterval {
+			n++
+		}
+		return n
+	}
+	for i, offset := range []uint64{wharfstream.OffsetIn(1, 5), wharfstream.OffsetIn(1, 6), wharfstream.OffsetIn(2, 3)} {
+		data, err := wharfstate.Envelope{Routes: &wharfroute.Set{Version: uint64(i + 1)}}.Encode()
+		is.NoErr(err)
+		is.True(a.View.Apply([]wharfstream.Record{{Offset: offset, Data: data}}))
+		is.Equal(immediate(), []int{0, 0, epochRounds - 1}[i])
+	}
+}
