Run tests with bounds in seconds on a clock of their own

Package wharfmemnet is a network in memory; wharfsocket is the one place where nodes get listeners and connections, and can be given another network. Options of connections are as before. The pools of calls to other nodes end by their context: pond's Stop goes through a pool of the library that all tests of a process would share.

--- /dev/null
+++ b/wharf/wharfsocket/network.go
@@ -0,0 +1,63 @@
+package wharfsocket
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Network makes connections and listeners.
+type Network interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	Listen(ctx context.Context, network, address string) (net.Listener, error)
+}
+
+// replaced holds the network that replaces that of the operating system.
+var replaced atomic.Pointer[Network]
+
+// Replace replaces the network of the operating system in this process, for tests, until
+// restore is called.
+func Replace(n Network) (restore func()) {
+	replaced.Store(&n)
+	return func() { replaced.Store(nil) }
+}
+
+// Replacement returns the network that replaces that of the operating system, or nil.
+func Replacement() Network {
+	if n := replaced.Load(); n != nil {
+		return *n
+	}
+	return nil
+}
+
+// Listen opens a listener of a node.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	if n := Replacement(); n != nil {
+		return n.Listen(ctx, "tcp", address)
+	}
+	return listenConfig().Listen(ctx, "tcp", address)
+}
+
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// LongLived returns a function that makes connections on which an unresponsive peer is
+// detected within seconds. The timeout bounds the setup.
+func LongLived(timeout time.Duration) DialFunc {
+	return dialWith(&net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control})
+}
+
+// Local returns a function that makes connections to a server on the same VM.
+func Local(timeout time.Duration) DialFunc {
+	return dialWith(&net.Dialer{Timeout: timeout})
+}
+
+func dialWith(d *net.Dialer) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if n := Replacement(); n != nil {
+			return n.DialContext(ctx, network, address)
+		}
+		return d.DialContext(ctx, network, address)
+	}
+}
--- a/wharf/wharfsocket/socket.go
+++ b/wharf/wharfsocket/socket.go
@@ -37,16 +37,10 @@
 	return optionErr
 }
 
-// Dialer returns a dialer for long-lived connections, with a timeout for the
-// connection setup.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control}
-}
-
 // CanConnect reports whether the address accepts a TCP connection within the
 // timeout. It closes the connection at once.
 func CanConnect(ctx context.Context, address string, timeout time.Duration) bool {
-	conn, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+	conn, err := Local(timeout)(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
@@ -54,7 +48,7 @@
 	return true
 }
 
-// ListenConfig returns the configuration of a node's listeners.
-func ListenConfig() *net.ListenConfig {
+// listenConfig returns the configuration of a node's listeners.
+func listenConfig() *net.ListenConfig {
 	return &net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
 }
--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -66,7 +66,10 @@
 	pool pond.Pool
 	// broadcasts runs the calls that send suspicions.
 	broadcasts pond.Pool
-	audit      auditTrail
+	// endPools makes both pools refuse further calls. Those that run end at their timeout,
+	// or when the connections are closed.
+	endPools context.CancelFunc
+	audit    auditTrail
 	// urgent triggers a gossip round at once. It buffers one request.
 	urgent chan struct{}
 	// registered is closed after the first attempt to write the directory entry of
@@ -88,7 +91,9 @@
 // Targets can announce themselves and other nodes can call this node between
 // Prepare and Run.
 func (a *Agent) Prepare() {
-	a.pool, a.broadcasts = pond.NewPool(workers), newBroadcastPool()
+	ctx, end := context.WithCancel(context.Background())
+	a.endPools = end
+	a.pool, a.broadcasts = pond.NewPool(workers, pond.WithContext(ctx)), newBroadcastPool(ctx)
 	a.urgent = make(chan struct{}, 1)
 	a.registered, a.joined = make(chan struct{}), make(chan struct{})
 	a.audit.queue = make(chan AuditEntry, auditQueue)
@@ -113,8 +118,7 @@
 		group.Go(func() { loop(ctx) })
 	}
 	group.Wait()
-	a.pool.StopAndWait()
-	a.broadcasts.StopAndWait()
+	a.endPools()
 }
 
 // TriggerRound requests a gossip round at once. It doesn't block.
--- a/wharfnode/internal/wharfcluster/suspicions.go
+++ b/wharfnode/internal/wharfcluster/suspicions.go
@@ -23,8 +23,8 @@
 
 // newBroadcastPool returns the workers that send suspicions. If the queue is full, a
 // suspicion is left to gossip.
-func newBroadcastPool() pond.Pool {
-	return pond.NewPool(broadcastWorkers, pond.WithQueueSize(broadcastQueue), pond.WithNonBlocking(true))
+func newBroadcastPool(ctx context.Context) pond.Pool {
+	return pond.NewPool(broadcastWorkers, pond.WithContext(ctx), pond.WithQueueSize(broadcastQueue), pond.WithNonBlocking(true))
 }
 
 // BroadcastSuspicions sends suspicions about requests that crash targets to the other
--- a/wharfnode/internal/wharfpeers/pool.go
+++ b/wharfnode/internal/wharfpeers/pool.go
@@ -1,6 +1,8 @@
 package wharfpeers
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 )
 
@@ -87,7 +90,7 @@
 }
 
 func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		// Only the node decides about retries. The library would resend an RPC
 		// whose stream was refused.
@@ -103,7 +106,13 @@
 		grpc.WithInitialWindowSize(streamWindow),
 		grpc.WithInitialConnWindowSize(connWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
-	)
+	}
+	if n := wharfsocket.Replacement(); n != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return n.DialContext(ctx, "tcp", address)
+		}))
+	}
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 // ServerOptions returns the gRPC server options of a node, which match the client
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -15,6 +15,7 @@
 	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/wharfprotocol"
 )
@@ -70,7 +71,7 @@
 }
 
 func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: targetDialTimeout}).DialContext(ctx, network, address)
+	conn, err := wharfsocket.Local(targetDialTimeout)(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/wharfnode/internal/wharftransport/client.go
+++ b/wharfnode/internal/wharftransport/client.go
@@ -112,7 +112,7 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
-			DialContext:         wharfsocket.Dialer(dialTimeout).DialContext,
+			DialContext:         wharfsocket.LongLived(dialTimeout),
 		}
 	})
 	return c.transport
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -230,7 +230,7 @@
 	var listeners []net.Listener
 	var errs []error
 	for _, address := range []string{n.settings.CallerListen, n.settings.AdminListen, n.settings.NodeListen} {
-		l, err := wharfsocket.ListenConfig().Listen(ctx, "tcp", address)
+		l, err := wharfsocket.Listen(ctx, address)
 		if err != nil {
 			n.log.Emit(wharfevents.ListenFailed, wharfevents.ErrorField(err))
 			errs = append(errs, oops.Code("listen").Wrap(err))
