--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -36,8 +36,8 @@
 	// if another node has it.
 	settleTime = 100 * time.Millisecond
 	// staleReadInterval is the interval in which about one of the known nodes
-	// starts to read while all of them are stale. The mean wait of one node is
-	// this interval times the number of known nodes.
+	// starts to read while all of them are stale. One node waits for at most this
+	// interval times the number of known nodes.
 	staleReadInterval = 250 * time.Millisecond
 	// emptyInterval and emptyReadInterval are the same as roleInterval and
 	// staleReadInterval for nodes without any state. Such nodes can't serve, and
@@ -60,6 +60,9 @@
 	// view at which reader was computed.
 	version uint64
 	reader  bool
+	// readAt is when this node reads because its state is stale. It is zero if the state
+	// isn't, and after the read.
+	readAt time.Time
 	// pending holds the records read after a gap, that is, after records that
 	// expired in the log before this node read them. They are kept until one of
 	// them is a snapshot that covers the gap. Until then, from is the offset of
@@ -102,17 +105,31 @@
 	if f.isReader() {
 		return true
 	}
-	if time.Since(f.agent.View.ConfirmedAt()) < f.agent.PollWait+staleMargin {
+	now := time.Now()
+	if now.Sub(f.agent.View.ConfirmedAt()) < f.agent.PollWait+staleMargin {
+		f.readAt = time.Time{}
 		return false
 	}
-	size := f.agent.View.KnownNodes()
-	readInterval := staleReadInterval
+	if f.readAt.IsZero() {
+		f.readAt = now.Add(f.staleWait())
+	}
+	if now.Before(f.readAt) {
+		return false
+	}
+	f.readAt = time.Time{}
+	return true
+}
+
+// staleWait returns how long a node waits until it reads in place of the readers. Of n nodes
+// that become stale together, about one reads in each staleReadInterval, and each of them
+// within n of these intervals.
+func (f *follower) staleWait() time.Duration {
+	interval := staleReadInterval
 	if f.empty() {
-		readInterval = emptyReadInterval
+		interval = emptyReadInterval
 	}
-	// Of n nodes that are all stale, about one reads in each readInterval.
-	chance := float64(f.interval()) / (float64(readInterval) * float64(max(size, 1)))
-	return f.rng.Float64() < chance
+	longest := interval * time.Duration(max(f.agent.View.KnownNodes(), 1))
+	return time.Duration(f.rng.Int64N(int64(longest)))
 }
 
 // empty reports whether this node has no state yet.
--- a/wharfnode/internal/wharfcluster/round_test.go
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// applyRoutes applies a record with routes at an offset. The offset is their version, too.
+func applyRoutes(t *testing.T, v *wharfview.View, offset uint64) {
+	t.Helper()
+	data, err := wharfstate.Envelope{Routes: &wharfroute.Set{Version: offset}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !v.Apply([]wharfstream.Record{{Offset: offset, Data: data}}) {
+		t.Fatal("the state didn't advance")
+	}
+}
+
 // TestRecordsAfterGapAreSent guards against a state that spreads only as far as nodes ask
 // for it, because the log has a gap: it was restored from an older copy, or its history has
 // expired. The newest routes are complete without the records in the gap, so a node sends
@@ -86,11 +98,9 @@
 			a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
 			a.Prepare()
 			peer := wharfview.New(wharfmember.Member{Node: "n01", FailureDomain: "d"})
-			for i, offset := range []uint64{tc.before, tc.after} {
-				data, err := wharfstate.Envelope{Routes: &wharfroute.Set{Version: uint64(i + 1)}}.Encode()
-				is.NoErr(err)
+			for _, offset := range []uint64{tc.before, tc.after} {
 				since := a.View.State().Offset()
-				is.True(a.View.Apply([]wharfstream.Record{{Offset: offset, Data: data}}))
+				applyRoutes(t, a.View, offset)
 				is.True(peer.Apply(unpackRecords(a.request(since).GetRecords())))
 				is.Equal(peer.State().Offset(), offset)
 			}
@@ -118,9 +128,7 @@
 		return n
 	}
 	for i, offset := range []uint64{wharfstream.OffsetIn(1, 5), wharfstream.OffsetIn(1, 6), wharfstream.OffsetIn(2, 3)} {
-		data, err := wharfstate.Envelope{Routes: &wharfroute.Set{Version: uint64(i + 1)}}.Encode()
-		is.NoErr(err)
-		is.True(a.View.Apply([]wharfstream.Record{{Offset: offset, Data: data}}))
+		applyRoutes(t, a.View, offset)
 		is.Equal(immediate(), []int{0, 0, epochRounds - 1}[i])
 	}
 }
