--- a/wharf/wharfsocket/wharfmemnet/bubble.go
+++ b/wharf/wharfsocket/wharfmemnet/bubble.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+	s := &httptest.Server{Listener: l, Config: &http.Server{Handler: h, ReadHeaderTimeout: setupTimeout}}
 	s.Start()
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -48,8 +48,8 @@
 	if wharfsocket.Replacement() == nil {
 		return http.DefaultClient
 	}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: wharfsocket.Local(dialTimeout)}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: wharfsocket.Local(setupTimeout)}}
 }
 
-// dialTimeout bounds the connection setup of a test's client.
-const dialTimeout = 30 * time.Second
+// setupTimeout bounds the connection setup of a client, and the head of a request to a server.
+const setupTimeout = 30 * time.Second
