Run more tests on a clock of their own

TestUnresponsiveTargetIsAvoided was tried: connections that stay open without an owner are a deadlock in a bubble; reverted.

--- a/wharfnode/wharfserver/readers_test.go
+++ b/wharfnode/wharfserver/readers_test.go
@@ -29,27 +29,29 @@
 // TestConfigurationWithoutReaders cuts all readers of all failure domains off from the
 // log. The other nodes must notice that and read a later change themselves.
 func TestConfigurationWithoutReaders(t *testing.T) {
-	is := is.New(t)
-	c := newTestCluster(t)
-	for _, domain := range []string{"domain-a", "domain-a", "domain-a", "domain-a", "domain-b", "domain-b", "domain-b"} {
-		c.startNode(domain)
-	}
-	c.log.publish(t, "first", classDocument("one", 1))
-	wharftest.Eventually(t, "the first change is in force everywhere", func() bool { return allNodesHaveClass(c, "one", 1) })
-	wharftest.Eventually(t, "all nodes know each other", func() bool { return allNodesKnow(c, len(c.nodes)) })
-	var readers []string
-	for _, n := range c.nodes {
-		readers = append(readers, n.agent.ReaderNodes()...)
-	}
-	for _, n := range c.nodes {
-		if slices.Contains(readers, n.view.Node()) {
-			n.logLink.setDown(true)
+	wharfmemnet.RunInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTestCluster(t)
+		for _, domain := range []string{"domain-a", "domain-a", "domain-a", "domain-a", "domain-b", "domain-b", "domain-b"} {
+			c.startNode(domain)
 		}
-	}
-	published := time.Now()
-	c.log.publish(t, "second", classDocument("two", 2))
-	wharftest.Eventually(t, "the second change is in force everywhere", func() bool { return allNodesHaveClass(c, "two", 2) })
-	is.True(time.Since(published) < disruptedChangeBound)
+		c.log.publish(t, "first", classDocument("one", 1))
+		wharftest.Eventually(t, "the first change is in force everywhere", func() bool { return allNodesHaveClass(c, "one", 1) })
+		wharftest.Eventually(t, "all nodes know each other", func() bool { return allNodesKnow(c, len(c.nodes)) })
+		var readers []string
+		for _, n := range c.nodes {
+			readers = append(readers, n.agent.ReaderNodes()...)
+		}
+		for _, n := range c.nodes {
+			if slices.Contains(readers, n.view.Node()) {
+				n.logLink.setDown(true)
+			}
+		}
+		published := time.Now()
+		c.log.publish(t, "second", classDocument("two", 2))
+		wharftest.Eventually(t, "the second change is in force everywhere", func() bool { return allNodesHaveClass(c, "two", 2) })
+		is.True(time.Since(published) < disruptedChangeBound)
+	})
 }
 
 // TestLargeChangeReachesEachNode publishes records of several kilobytes, which most
