Name connections by their options, and end all sending with the node

Found on a last reading: the log isn't on the same VM, so wharfsocket.Local is Plain now; calls that tell others of a cleared suspicion end with the pool.

--- a/wharf/wharflog/client.go
+++ b/wharf/wharflog/client.go
@@ -43,7 +43,7 @@
 	// the record twice, and the caller would not learn that a response was lost.
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	transport.DialContext = wharfsocket.Local(callTimeout)
+	transport.DialContext = wharfsocket.Plain(callTimeout)
 	return &Client{http: resty.New().SetTransport(transport).SetBaseURL(url).SetRetryCount(0)}
 }
 
--- a/wharf/wharfsocket/network.go
+++ b/wharf/wharfsocket/network.go
@@ -48,8 +48,9 @@
 	return dialWith(&net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control})
 }
 
-// Local returns a function that makes connections to a server on the same VM.
-func Local(timeout time.Duration) DialFunc {
+// Plain returns a function that makes connections with the options of the operating system.
+// The timeout bounds the setup.
+func Plain(timeout time.Duration) DialFunc {
 	return dialWith(&net.Dialer{Timeout: timeout})
 }
 
--- a/wharf/wharfsocket/socket.go
+++ b/wharf/wharfsocket/socket.go
@@ -40,7 +40,7 @@
 // CanConnect reports whether the address accepts a TCP connection within the
 // timeout. It closes the connection at once.
 func CanConnect(ctx context.Context, address string, timeout time.Duration) bool {
-	conn, err := Local(timeout)(ctx, "tcp", address)
+	conn, err := Plain(timeout)(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/wharf/wharfsocket/wharfmemnet/bubble.go
+++ b/wharf/wharfsocket/wharfmemnet/bubble.go
@@ -48,7 +48,7 @@
 	if wharfsocket.Replacement() == nil {
 		return http.DefaultClient
 	}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: wharfsocket.Local(setupTimeout)}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: wharfsocket.Plain(setupTimeout)}}
 }
 
 // setupTimeout bounds the connection setup of a client, and the head of a request to a server.
--- a/wharfnode/internal/wharfcluster/suspicions.go
+++ b/wharfnode/internal/wharfcluster/suspicions.go
@@ -46,7 +46,7 @@
 	for _, send := range a.suspicionCalls(service, []wharfquarantine.Entry{e}) {
 		// The error means that the queue is full.
 		_ = a.broadcasts.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			ctx, cancel := context.WithTimeout(a.broadcasts.Context(), callTimeout)
 			defer cancel()
 			send(ctx)
 		})
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -71,7 +71,7 @@
 }
 
 func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := wharfsocket.Local(targetDialTimeout)(ctx, network, address)
+	conn, err := wharfsocket.Plain(targetDialTimeout)(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/wharfnode/wharfserver/link_test.go
+++ b/wharfnode/wharfserver/link_test.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return
 		}
-		to, err := wharfsocket.Local(linkTimeout)(context.Background(), "tcp", l.destination)
+		to, err := wharfsocket.Plain(linkTimeout)(context.Background(), "tcp", l.destination)
 		if err != nil || !l.track(from, to) {
 			_ = from.Close()
 			continue
