--- a/wharfnode/wharfserver/containment_test.go
+++ b/wharfnode/wharfserver/containment_test.go
@@ -26,7 +26,7 @@
 	running atomic.Int32
 }
 
-// dead returns the channel that the next crash closes.
+// dead returns the channel that the next crash or endBeside closes.
 func (d *deadlyTarget) dead() chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -37,12 +37,18 @@
 }
 
 func (d *deadlyTarget) crash() {
-	dead := d.dead()
+	d.crashes.Add(1)
+	d.endBeside()
+}
+
+// endBeside closes the connections of the requests to /beside.
+func (d *deadlyTarget) endBeside() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.crashes.Add(1)
-	close(dead)
-	d.crashed = nil
+	if d.crashed != nil {
+		close(d.crashed)
+		d.crashed = nil
+	}
 }
 
 func (d *deadlyTarget) serve(w http.ResponseWriter, r *http.Request) {
@@ -102,14 +108,6 @@
 	is.True(crashes() <= 2)
 }
 
-// endBeside closes the connections of the requests to /beside without a crash.
-func (d *deadlyTarget) endBeside() {
-	if d.running.Load() > 0 {
-		d.crash()
-		d.crashes.Add(-1)
-	}
-}
-
 // sendDeadly sends the crashing request to a node until it is quarantined, at most n
 // times. It reports whether it was quarantined.
 func sendDeadly(node *testNode, n int) bool {
