Measure how long requests wait for the processor, and connections to targets

The wait of a request for its turn, which each request takes already, is what a request waits for the processor. It goes into a histogram, and events 1010 and 1011 say when the mean over 0.1 s exceeds 10 ms and for how long. A pause of the process doesn't count. Event 2008 names the share that is rejected.

--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -100,6 +100,8 @@
 type connection struct {
 	net.Conn
 	idle time.Duration
+	// opened is true if the connection was opened for the request.
+	opened bool
 	// cancel ends the request.
 	cancel context.CancelCauseFunc
 }
@@ -109,7 +111,7 @@
 // failed. The first send may have reached the target, so the second is prevented.
 func (c *connection) use(info httptrace.GotConnInfo) {
 	if c.Conn == nil {
-		c.Conn, c.idle = info.Conn, info.IdleTime
+		c.Conn, c.idle, c.opened = info.Conn, info.IdleTime, !info.Reused
 		return
 	}
 	if second, ok := info.Conn.(*targetConn); ok {
@@ -158,6 +160,9 @@
 	defer monitored.End()
 	conn := connection{cancel: monitored.Cancel}
 	response, err := s.client.roundTrip(s.request(c, ctx, &conn), c.head.GetIdempotent())
+	if conn.opened {
+		s.Metrics.TargetConnection()
+	}
 	if err != nil {
 		o := s.failureOutcome(c, ctx, conn, err)
 		result = resultOf(ctx, o)
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -209,7 +209,8 @@
 			wharfevents.Field{Name: "queued", Value: load.GetQueued()},
 			wharfevents.Field{Name: "limit", Value: load.GetLimit()},
 			// pressure-ms is the queue delay, which the load report calls pressure_ms.
-			wharfevents.Field{Name: "pressure-ms", Value: load.GetPressureMs()})
+			wharfevents.Field{Name: "pressure-ms", Value: load.GetPressureMs()},
+			wharfevents.Field{Name: "rejected-permille", Value: load.GetRejectedPermille()})
 	}
 	s.Log.Emit(wharfevents.CallUnserved, fields...)
 }
--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -23,15 +23,17 @@
 
 // Events of the process.
 var (
-	NodeStarted      = Event{1001, "node-started", log.InfoLevel, "node started"}
-	NodeStopping     = Event{1002, "node-stopping", log.InfoLevel, "planned stop began"}
-	NodeStopped      = Event{1003, "node-stopped", log.InfoLevel, "node stopped"}
-	StopTimedOut     = Event{1004, "stop-cut-requests", log.ErrorLevel, "stop timeout reached with requests in flight"}
-	ListenFailed     = Event{1005, "listen-failed", log.ErrorLevel, "can't listen on the address"}
-	SettingsReloaded = Event{1007, "settings-reloaded", log.InfoLevel, "changed settings applied"}
-	SettingsRefused  = Event{1008, "settings-refused", log.ErrorLevel, "changed settings can't be used"}
-	PauseNoticed     = Event{1006, "pause-noticed", log.WarnLevel, "process was paused"}
-	MemoryLimited    = Event{1009, "memory-limit-set", log.InfoLevel, "memory limit of the runtime set"}
+	NodeStarted         = Event{1001, "node-started", log.InfoLevel, "node started"}
+	NodeStopping        = Event{1002, "node-stopping", log.InfoLevel, "planned stop began"}
+	NodeStopped         = Event{1003, "node-stopped", log.InfoLevel, "node stopped"}
+	StopTimedOut        = Event{1004, "stop-cut-requests", log.ErrorLevel, "stop timeout reached with requests in flight"}
+	ListenFailed        = Event{1005, "listen-failed", log.ErrorLevel, "can't listen on the address"}
+	SettingsReloaded    = Event{1007, "settings-reloaded", log.InfoLevel, "changed settings applied"}
+	SettingsRefused     = Event{1008, "settings-refused", log.ErrorLevel, "changed settings can't be used"}
+	PauseNoticed        = Event{1006, "pause-noticed", log.WarnLevel, "process was paused"}
+	MemoryLimited       = Event{1009, "memory-limit-set", log.InfoLevel, "memory limit of the runtime set"}
+	ProcessorShort      = Event{1010, "processor-short", log.WarnLevel, "requests wait for the processor"}
+	ProcessorSufficient = Event{1011, "processor-sufficient", log.WarnLevel, "requests don't wait for the processor any more"}
 )
 
 // Events of requests. LateResponse means that an attempt received the response to
@@ -100,6 +102,7 @@
 // Catalogue lists all events.
 var Catalogue = []Event{
 	NodeStarted, NodeStopping, NodeStopped, StopTimedOut, ListenFailed, PauseNoticed, SettingsReloaded, SettingsRefused, MemoryLimited,
+	ProcessorShort, ProcessorSufficient,
 	BadRequest, LateResponse, ResponseIncomplete, DispatchFailed,
 	RequestServed, RequestUnserved, AttemptFailed, CallUnserved,
 	TargetAnnounced, TargetLeaving, TargetExpired, AnnouncementRefused, TargetCrashed, TargetUnresponsive, TargetResponsive, RequestQuarantined,
--- a/wharfnode/wharfevents/metrics.go
+++ b/wharfnode/wharfevents/metrics.go
@@ -98,6 +98,22 @@
 	m.set.GetOrCreateCounter("wharf_target_crashes_total").Inc()
 }
 
+// TargetConnection counts a connection that was opened to the target on this VM.
+func (m Metrics) TargetConnection() {
+	if m.set == nil {
+		return
+	}
+	m.set.GetOrCreateCounter("wharf_target_connections_total").Inc()
+}
+
+// ProcessorWait records how long a request has waited for the processor.
+func (m Metrics) ProcessorWait(wait time.Duration) {
+	if m.set == nil {
+		return
+	}
+	m.set.GetOrCreateHistogram("wharf_processor_wait_seconds").Update(wait.Seconds())
+}
+
 // ControlBytes counts the bytes sent or received in the exchanges that this node
 // started.
 func (m Metrics) ControlBytes(direction string, bytes int) {
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -22,6 +22,7 @@
 	"ragwortwharf.dev/wharfnode/internal/wharfadmin"
 	"ragwortwharf.dev/wharfnode/internal/wharfcluster"
 	"ragwortwharf.dev/wharfnode/internal/wharfpeers"
+	"ragwortwharf.dev/wharfnode/internal/wharfprocessor"
 	"ragwortwharf.dev/wharfnode/internal/wharfproxy"
 	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/internal/wharftransport"
@@ -149,11 +150,12 @@
 		View: n.view, Registry: registry, Proxy: n.proxy, Ledger: ledger, Keys: keys, Quarantine: quarantine,
 		Registrar: n, Auditor: n.agent, Log: log, Metrics: metrics,
 	}
-	n.caller = newHTTPServer(n.proxy)
-	n.admin = newHTTPServer(api.Handler())
+	processor := &wharfprocessor.Meter{Log: log, Metrics: metrics}
+	n.caller = newHTTPServer(n.proxy, processor)
+	n.admin = newHTTPServer(api.Handler(), processor)
 	n.grpc = grpc.NewServer(wharfpeers.ServerOptions()...)
 	wharfwire.RegisterNodeServer(n.grpc, nodeService{Server: n.target, agent: n.agent})
-	n.peer = newHTTPServer(peerHandler{calls: wharftransport.Handler{Receiver: n.target}, control: n.grpc})
+	n.peer = newHTTPServer(peerHandler{calls: wharftransport.Handler{Receiver: n.target}, control: n.grpc}, processor)
 	n.registerGauges(metrics, keys)
 	return n
 }
@@ -185,12 +187,12 @@
 	return time.Since(confirmedAt).Seconds()
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
+func newHTTPServer(h http.Handler, processor *wharfprocessor.Meter) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           yieldingHandler{h},
+		Handler:           yieldingHandler{h, processor},
 		Protocols:         protocols,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/wharfnode/wharfserver/yield.go
+++ b/wharfnode/wharfserver/yield.go
@@ -2,20 +2,18 @@
 
 import (
 	"net/http"
-	"runtime"
+
+	"ragwortwharf.dev/wharfnode/internal/wharfprocessor"
 )
 
-// yieldingHandler lets other goroutines run before each request. If a client sends its next
-// request as soon as the last one is refused, the goroutine of the connection never waits
-// for the network. A few hundred such connections fill the local run queue of a processor,
-// and the scheduler then hardly takes goroutines from the global queue, such as those that
-// read the responses of targets. Gosched moves the connection to the end of that queue.
+// yieldingHandler makes the connections of a server take turns on the processor.
 type yieldingHandler struct {
-	next http.Handler
+	next      http.Handler
+	processor *wharfprocessor.Meter
 }
 
 // ServeHTTP serves one request.
 func (h yieldingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	runtime.Gosched()
+	h.processor.Yield()
 	h.next.ServeHTTP(w, r)
 }
