Add a failing test of a deepest service whose node is out of processor

In the model of a chain the node beside the deepest target now has a processor that takes calls in turn.

--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -42,6 +42,9 @@
 	now        time.Time
 	lastID     uint64
 	waiting    map[uint64]*chainRequest
+	// processor is the processor of the leaf's node, which takes calls before the gate
+	// does. Without one the gate takes them at once.
+	processor *modelProcessor
 	// ends holds the calls that run at the leaf, by the step in which they end.
 	ends map[time.Time][]uint64
 	// offered, served and wasted count requests by kind: all, those that ended within
@@ -49,7 +52,24 @@
 	offered, served, wasted map[string]int
 }
 
-const leafServiceTime = 44 * time.Millisecond
+// modelProcessor is a processor that takes calls in the order of their arrival.
+type modelProcessor struct {
+	// perStep is the number of calls that it takes in a step.
+	perStep int
+	queue   []processorCall
+}
+
+// processorCall is a call that waits for the processor.
+type processorCall struct {
+	request *chainRequest
+	arrived time.Time
+}
+
+const (
+	leafServiceTime = 44 * time.Millisecond
+	// chainDeadline is the time that a request has for all of its calls.
+	chainDeadline = 2 * time.Second
+)
 
 func newChainLoad(entries, slots int, kinds []chainKind) *chainLoad {
 	return &chainLoad{
@@ -71,6 +91,7 @@
 			l.finish(id)
 		}
 		delete(l.ends, l.now)
+		l.process()
 		for i := range l.kinds {
 			for n := scale * l.kinds[i].perSecond / 1000; n > 0; n-- {
 				if l.rng.Float64() < n {
@@ -92,12 +113,38 @@
 
 // call sends the next call of a request to the leaf.
 func (l *chainLoad) call(r *chainRequest) {
+	if l.processor != nil {
+		l.processor.queue = append(l.processor.queue, processorCall{r, l.now})
+		return
+	}
+	l.offer(r)
+}
+
+// process lets the processor of the leaf's node take calls for one step. A call whose
+// request has passed its deadline is not offered to the gate.
+func (l *chainLoad) process() {
+	if l.processor == nil {
+		return
+	}
+	n := min(l.processor.perStep, len(l.processor.queue))
+	for _, c := range l.processor.queue[:n] {
+		if l.now.Sub(c.request.started) > chainDeadline {
+			l.wasted[c.request.kind.name]++
+			continue
+		}
+		l.offer(c.request)
+	}
+	l.processor.queue = l.processor.queue[n:]
+}
+
+// offer passes a call to the gate of the leaf.
+func (l *chainLoad) offer(r *chainRequest) {
 	l.lastID++
 	l.waiting[l.lastID] = r
 	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf)
 	l.apply(l.leaf.Offer(l.now, Ticket{
 		ID: l.lastID, Rank: r.kind.rank, Arrived: l.now, Objective: 300 * time.Millisecond,
-		Deadline: r.started.Add(2 * time.Second),
+		Deadline: r.started.Add(chainDeadline),
 	}))
 }
 
@@ -192,3 +239,38 @@
 	d.Prune(now.Add(2 * routeTTL))
 	is.True(d.MayCall("status"))
 }
+
+// TestProcessorOfDeepestServiceIsOverloaded covers a surge in which the deepest service has
+// slots for all calls, but the node beside its target lacks the processor time to pass them
+// on: bookings of rank 0 and reads of rank 2 make eight calls each. The work that ends in
+// time must not decline as the load grows to four times what the processor can carry, and
+// bookings come first.
+func TestProcessorOfDeepestServiceIsOverloaded(t *testing.T) {
+	const (
+		entries = 30
+		slots   = 400
+		perStep = 4
+		// perSecond is the rate of each kind whose calls take half of the processor.
+		perSecond = perStep * 1000 / 2 / 8
+		// minShare is the least goodput, as a share of the best one.
+		minShare = 0.9
+	)
+	is := is.NewRelaxed(t)
+	best := 0.0
+	for _, scale := range []float64{0.9, 1.5, 2, 3, 4} {
+		l := newChainLoad(entries, slots, []chainKind{
+			{name: "booking", rank: 0, perSecond: perSecond / 3, calls: 8, objective: 1500 * time.Millisecond},
+			{name: "read", rank: 2, perSecond: perSecond * 5 / 3, calls: 8, objective: 1500 * time.Millisecond},
+		})
+		l.processor = &modelProcessor{perStep: perStep}
+		l.run(5*time.Second, 0.5)
+		l.run(3*time.Second, scale)
+		l.run(10*time.Second, scale)
+		goodput := float64(l.served["booking"]+l.served["read"]) / 10
+		bookings := float64(l.served["booking"]) / float64(l.offered["booking"])
+		t.Logf("load %.1f: %.0f requests/s end in time, bookings %.3f, wasted %d", scale, goodput, bookings, l.wasted["read"]+l.wasted["booking"])
+		best = max(best, goodput)
+		is.True(goodput >= minShare*best)
+		is.True(bookings > 0.95)
+	}
+}
