Reject upstream what the processor of a node can't carry

Cause: shares are computed from slots and service times alone. The nodes beside ingestsvc and journeysvc run out of processor first, calls wait in goroutines until their deadline, and the entries go on admitting requests whose calls can't end in time. Class of fault: a resource that is used up without counting as capacity.

The rate of calls while requests wait for the processor is now a second capacity beside that of the slots. What waits is served first; only the most important rank doesn't give way to it.

--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -20,8 +20,8 @@
 )
 
 // CapacityShares computes which share of the client requests of each rank a target can
-// serve, from its capacity and from the rates at which calls of the ranks arrive. The
-// nodes upstream admit that share, see DownstreamShares. The more important ranks come
+// serve, from its capacity and that of the processor of its node, and from the rates at
+// which calls of the ranks arrive. The nodes upstream admit that share, see DownstreamShares. The more important ranks come
 // first. A CapacityShares isn't safe for concurrent use. The zero CapacityShares gives
 // every rank the share one.
 type CapacityShares struct {
@@ -35,10 +35,10 @@
 	past     [rankCount][shareLag]float64
 }
 
-// RecordArrival records that a request of a rank has arrived at a gate. It computes the
-// shares anew if a window has ended.
-func (s *CapacityShares) RecordArrival(now time.Time, rank int, g *Gate) {
-	s.advance(now, g)
+// RecordArrival records that a request of a rank has arrived at a gate, and what the
+// processor of its node can carry. It computes the shares anew if a window has ended.
+func (s *CapacityShares) RecordArrival(now time.Time, rank int, g *Gate, p ProcessorLoad) {
+	s.advance(now, g, p)
 	s.arrivals[clampRank(rank)]++
 }
 
@@ -48,7 +48,7 @@
 }
 
 // advance evaluates the windows that have ended.
-func (s *CapacityShares) advance(now time.Time, g *Gate) {
+func (s *CapacityShares) advance(now time.Time, g *Gate, p ProcessorLoad) {
 	if s.windowStart.IsZero() {
 		s.windowStart = now
 	}
@@ -57,7 +57,11 @@
 		return
 	}
 	s.windowStart = now
-	room := usableShare * g.capacityPerSecond() * delayWindow.Seconds()
+	capacity := g.capacityPerSecond()
+	if p.PerSecond > 0 && (capacity == 0 || p.PerSecond < capacity) {
+		capacity = p.PerSecond
+	}
+	room, backlog := usableShare*capacity*delayWindow.Seconds(), p.Backlog*delayWindow.Seconds()
 	for rank := range rankCount {
 		for range min(windows, maxIncreaseWindows) {
 			past := &s.past[rank]
@@ -67,19 +71,23 @@
 			past[shareLag-1] = s.rejected[rank]
 		}
 		s.arrivals[rank] = 0
-		s.rejected[rank] = 1 - s.share(rank, room, g)
+		s.rejected[rank] = 0
+		if capacity > 0 && s.rate[rank] > 0 {
+			s.rejected[rank] = 1 - s.share(rank, room, g.EstimatedWait(rank))
+		}
 		room = max(room-s.rate[rank], 0)
+		if s.rate[rank] > 0 {
+			// Only the most important rank doesn't give way to the requests that wait.
+			room, backlog = max(room-backlog, 0), 0
+		}
 	}
 }
 
 // share returns the share of a rank that fits into the room that the more important
-// ranks leave.
-func (s *CapacityShares) share(rank int, room float64, g *Gate) float64 {
-	if g.serviceTime == 0 || s.rate[rank] == 0 {
-		return 1
-	}
+// ranks leave, while its requests wait for some time.
+func (s *CapacityShares) share(rank int, room float64, wait time.Duration) float64 {
 	share := room / s.rate[rank] * s.meanShare[rank]
-	if wait, threshold := g.EstimatedWait(rank), delayThreshold(rank); wait > threshold {
+	if threshold := delayThreshold(rank); wait > threshold {
 		share *= max(threshold.Seconds()/wait.Seconds(), maxDelayCut)
 	}
 	return min(max(share, minAdmittedShare), 1)
--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -57,6 +57,8 @@
 	// perStep is the number of calls that it takes in a step.
 	perStep int
 	queue   []processorCall
+	// limit is what the node knows of its processor.
+	limit ProcessorLimit
 }
 
 // processorCall is a call that waits for the processor.
@@ -128,6 +130,8 @@
 	}
 	n := min(l.processor.perStep, len(l.processor.queue))
 	for _, c := range l.processor.queue[:n] {
+		l.processor.limit.RecordCall()
+		l.processor.limit.Observe(l.now, l.now.Sub(c.arrived))
 		if l.now.Sub(c.request.started) > chainDeadline {
 			l.wasted[c.request.kind.name]++
 			continue
@@ -141,7 +145,11 @@
 func (l *chainLoad) offer(r *chainRequest) {
 	l.lastID++
 	l.waiting[l.lastID] = r
-	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf)
+	var processor ProcessorLoad
+	if l.processor != nil {
+		processor = l.processor.limit.Load(l.now)
+	}
+	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf, processor)
 	l.apply(l.leaf.Offer(l.now, Ticket{
 		ID: l.lastID, Rank: r.kind.rank, Arrived: l.now, Objective: 300 * time.Millisecond,
 		Deadline: r.started.Add(chainDeadline),
--- a/wharf/wharfadmission/processordelay.go
+++ b/wharf/wharfadmission/processordelay.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	// processorDelayThreshold is the mean wait for the processor above which a node is
-	// short of it. A request waits some ten times on its way through two nodes, and most
-	// requests make several calls one after another.
-	processorDelayThreshold = 10 * time.Millisecond
+	// processorDelayThreshold is the mean wait for the processor above which a node can be
+	// short of it. On its way through two nodes a call waits some ten times, and requests make
+	// several calls one after another.
+	processorDelayThreshold = 3 * time.Millisecond
+	// minProcessorQueue is the mean number of requests that wait at the same time while a
+	// node is short of processor time. At a low rate a few long waits, such as those for
+	// the garbage collector, don't show that.
+	minProcessorQueue = 1.0
 	// processorDelayWindow is the time over which the wait is averaged.
 	processorDelayWindow = delayWindow
 	// maxProcessorPause is the time between two waits after which the first of them says
@@ -21,8 +25,10 @@
 	windowStart, last time.Time
 	sum               time.Duration
 	count             int
-	// mean is the mean wait in the last window that has ended.
-	mean time.Duration
+	// mean is the mean wait in the last window that has ended, and queue the mean number of
+	// requests that waited at the same time.
+	mean  time.Duration
+	queue float64
 }
 
 // Observe records how long a request has waited for the processor. It reports whether a
@@ -39,6 +45,7 @@
 		return false
 	}
 	d.mean = d.sum / time.Duration(d.count)
+	d.queue = d.sum.Seconds() / now.Sub(d.windowStart).Seconds()
 	d.windowStart, d.sum, d.count = now, 0, 0
 	return true
 }
@@ -54,5 +61,5 @@
 
 // Short reports whether the node is short of processor time.
 func (d *ProcessorDelay) Short(now time.Time) bool {
-	return d.Mean(now) > processorDelayThreshold
+	return d.Mean(now) > processorDelayThreshold && d.queue > minProcessorQueue
 }
--- a/wharf/wharfadmission/processordelay_test.go
+++ b/wharf/wharfadmission/processordelay_test.go
@@ -32,3 +32,53 @@
 	observe(500, time.Millisecond)
 	is.True(!d.Short(now))
 }
+
+// TestLimitOfSlowProcessorIsForgotten guards against a limit from a time when a node was
+// slow, or paused, that still rejects requests once the node has recovered.
+func TestLimitOfSlowProcessorIsForgotten(t *testing.T) {
+	const (
+		usual = 1000.0
+		// recovery is the time within which all requests are served again.
+		recovery = 5 * time.Second
+	)
+	tests := []struct {
+		name  string
+		slow  float64
+		pause time.Duration
+	}{
+		{"half", 2, 0},
+		{"a tenth", 10, 0},
+		{"paused", 2, 3 * time.Second},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			var p ProcessorLimit
+			serve := func(span time.Duration, perSecond float64, wait time.Duration) {
+				for end := now.Add(span); now.Before(end); {
+					now = now.Add(time.Duration(float64(time.Second) / perSecond))
+					p.RecordCall()
+					p.Observe(now, wait)
+				}
+			}
+			serve(2*time.Second, usual, 0)
+			is.Equal(p.Load(now), ProcessorLoad{})
+			serve(3*time.Second, usual/tc.slow, 50*time.Millisecond)
+			is.True(p.Load(now).PerSecond < 1.1*usual/tc.slow)
+			is.True(p.Load(now).Backlog > 0)
+			now = now.Add(tc.pause)
+			// The nodes upstream let as many calls through as the limit allows.
+			for end := now.Add(recovery); now.Before(end); {
+				rate := usual
+				if limit := p.Load(now).PerSecond; limit > 0 {
+					rate = min(limit, usual)
+				}
+				serve(delayWindow, rate, 0)
+			}
+			load := p.Load(now)
+			is.True(load.PerSecond == 0 || load.PerSecond >= usual)
+			is.Equal(load.Backlog, 0.0)
+		})
+	}
+}
--- /dev/null
+++ b/wharf/wharfadmission/processorlimit.go
@@ -0,0 +1,92 @@
+package wharfadmission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// processorRateWeight is the weight of a new window in the moving average of the rate
+	// of calls that the processor can carry.
+	processorRateWeight = 0.3
+	// processorIncrease is the relative increase of that rate in a window in which the
+	// node has enough processor time. It doubles in each processorDoublingWindows, so that
+	// a rate from a time when the node was slow is gone after five seconds.
+	processorIncrease        = 0.01
+	processorDoublingWindows = 10
+	// unusedProcessorRatio is the ratio of the estimate to the rate of calls above which
+	// the estimate is dropped.
+	unusedProcessorRatio = 4.0
+	// backlogTime is the time in which the requests that wait for the processor are to be
+	// served, and maxBacklogShare the largest share of the rate that is kept for them.
+	backlogTime     = 50 * time.Millisecond
+	maxBacklogShare = 0.8
+)
+
+// ProcessorLoad is what the processor of a node can carry. The zero ProcessorLoad means that
+// no limit is known.
+type ProcessorLoad struct {
+	// PerSecond is the number of calls a second, and Backlog the part of it that is needed
+	// for the requests that wait for the processor.
+	PerSecond, Backlog float64
+}
+
+// ProcessorLimit estimates how many calls of other nodes the processor of a node can
+// carry. The rate of calls while requests wait for the processor is all that it can carry,
+// whatever a call costs and whatever else the processor does. A ProcessorLimit isn't safe
+// for concurrent use. The zero ProcessorLimit knows no limit.
+type ProcessorLimit struct {
+	delay       ProcessorDelay
+	windowStart time.Time
+	calls       int
+	// capacity is the number of calls a second that the processor can carry, zero if it
+	// isn't known.
+	capacity float64
+	// sufficient counts the windows in which the node had enough processor time since it
+	// was last short of it.
+	sufficient int
+}
+
+// RecordCall records a call of another node.
+func (p *ProcessorLimit) RecordCall() {
+	p.calls++
+}
+
+// Observe records how long a request has waited for the processor. It reports whether a
+// window has ended.
+func (p *ProcessorLimit) Observe(now time.Time, wait time.Duration) bool {
+	if now.Sub(p.delay.last) > maxProcessorPause {
+		*p = ProcessorLimit{windowStart: now}
+	}
+	ended := p.delay.Observe(now, wait)
+	if ended {
+		p.endWindow(now)
+	}
+	return ended
+}
+
+// Delay returns how long requests wait for the processor.
+func (p *ProcessorLimit) Delay() *ProcessorDelay {
+	return &p.delay
+}
+
+// Load returns what the processor can carry.
+func (p *ProcessorLimit) Load(now time.Time) ProcessorLoad {
+	share := min(p.delay.Mean(now).Seconds()/backlogTime.Seconds(), maxBacklogShare)
+	return ProcessorLoad{PerSecond: p.capacity, Backlog: share * p.capacity}
+}
+
+func (p *ProcessorLimit) endWindow(now time.Time) {
+	rate := float64(p.calls) / now.Sub(p.windowStart).Seconds()
+	p.windowStart, p.calls = now, 0
+	switch {
+	case p.delay.Short(now):
+		p.sufficient = 0
+		p.capacity = smooth(p.capacity, rate, processorRateWeight)
+	case p.capacity > unusedProcessorRatio*rate:
+		p.capacity = 0
+	default:
+		p.capacity *= 1 + processorIncrease*math.Exp2(float64(p.sufficient/processorDoublingWindows))
+		p.sufficient++
+	}
+}
--- a/wharfnode/internal/wharfprocessor/meter.go
+++ b/wharfnode/internal/wharfprocessor/meter.go
@@ -16,7 +16,7 @@
 	Metrics wharfevents.Metrics
 
 	mu    sync.Mutex
-	delay wharfadmission.ProcessorDelay
+	limit wharfadmission.ProcessorLimit
 	// shortSince is the time since which the node is short of processor time. It is zero
 	// if the node isn't short of it.
 	shortSince time.Time
@@ -41,18 +41,35 @@
 	m.observe(now, wait)
 }
 
+// RecordCall records a call of another node.
+func (m *Meter) RecordCall() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit.RecordCall()
+}
+
+// Load returns what the processor can carry.
+func (m *Meter) Load() wharfadmission.ProcessorLoad {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limit.Load(time.Now())
+}
+
 func (m *Meter) observe(now time.Time, wait time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.delay.Observe(now, wait) {
+	if !m.limit.Observe(now, wait) {
 		return
 	}
-	switch short := m.delay.Short(now); {
+	delay := m.limit.Delay()
+	switch short := delay.Short(now); {
 	case short && m.shortSince.IsZero():
-		m.shortSince, m.longest = now, m.delay.Mean(now)
-		m.Log.Emit(wharfevents.ProcessorShort, wharfevents.Field{Name: "wait-ms", Value: m.longest.Milliseconds()})
+		m.shortSince, m.longest = now, delay.Mean(now)
+		m.Log.Emit(wharfevents.ProcessorShort,
+			wharfevents.Field{Name: "wait-ms", Value: m.longest.Milliseconds()},
+			wharfevents.Field{Name: "calls-per-second", Value: int(m.limit.Load(now).PerSecond)})
 	case short:
-		m.longest = max(m.longest, m.delay.Mean(now))
+		m.longest = max(m.longest, delay.Mean(now))
 	case !m.shortSince.IsZero():
 		m.Log.Emit(wharfevents.ProcessorSufficient,
 			wharfevents.Field{Name: "short-ms", Value: now.Sub(m.shortSince).Milliseconds()},
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -30,7 +30,7 @@
 		s.abandonKey(c)
 		return wharfoutcome.Refuse(wharfoutcome.ReasonTargetUnresponsive), false
 	}
-	o, run := c.target.admit(c)
+	o, run := c.target.admit(c, s.Processor.Load())
 	if !run {
 		s.abandonKey(c)
 		return o, false
@@ -52,15 +52,15 @@
 }
 
 // admit waits until the gate of the target has decided on the call. The outcome is
-// the zero value if the call may run.
-func (t *target) admit(c *call) (wharfoutcome.Outcome, bool) {
+// the zero value if the call may run. p is what the processor of the node can carry.
+func (t *target) admit(c *call, p wharfadmission.ProcessorLoad) (wharfoutcome.Outcome, bool) {
 	decided := make(chan admission, 1)
 	now := time.Now()
 	ticket := c.ticket(now)
 	t.mu.Lock()
 	t.configure(c.config)
 	t.waiters[c.id] = decided
-	t.shares.RecordArrival(now, ticket.Rank, t.gate)
+	t.shares.RecordArrival(now, ticket.Rank, t.gate, p)
 	t.apply(t.gate.Offer(now, ticket))
 	latestStart, rateWait := t.gate.LatestStart(ticket), t.gate.RateWait()
 	t.mu.Unlock()
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -47,6 +47,14 @@
 	TargetSaysLeaving(instance, address string)
 }
 
+// processor knows what the processor of the node can carry.
+type processor interface {
+	// RecordCall records a call of another node.
+	RecordCall()
+	// Load returns what the processor can carry.
+	Load() wharfadmission.ProcessorLoad
+}
+
 // Server is the target side of a node. Its exported fields are set before the first
 // call. It is safe for concurrent use.
 type Server struct {
@@ -57,6 +65,7 @@
 	Backpressure *BackpressureGuard
 	// Ledger holds the grants of the calls that the targets are serving.
 	Ledger      *wharfbudget.Ledger
+	Processor   processor
 	Quarantine  *wharfquarantine.List
 	Keys        *wharfidempotency.KeyStore
 	Consulter   consulter
@@ -149,6 +158,7 @@
 	}
 	s.calls.Add(1)
 	defer s.calls.Add(-1)
+	s.Processor.RecordCall()
 	c := &call{
 		id:          s.lastID.Add(1),
 		ctx:         stream.Context(),
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -136,8 +136,9 @@
 	}
 	n.agent.Prepare()
 	backpressure := &wharftarget.BackpressureGuard{Enabled: settings.Backpressure}
+	processor := &wharfprocessor.Meter{Log: log, Metrics: metrics}
 	n.target = &wharftarget.Server{
-		View: n.view, Registry: registry, Backpressure: backpressure, Ledger: ledger, Quarantine: quarantine, Keys: keys,
+		View: n.view, Registry: registry, Backpressure: backpressure, Processor: processor, Ledger: ledger, Quarantine: quarantine, Keys: keys,
 		Consulter: n.agent, Broadcaster: n.agent, Auditor: n.agent, LeavingTargets: n, Protocol: options.Protocol, CrashedTargetRefusesConnections: options.CrashedTargetRefusesConnections,
 		Log: log, Metrics: metrics,
 	}
@@ -150,7 +151,6 @@
 		View: n.view, Registry: registry, Proxy: n.proxy, Ledger: ledger, Keys: keys, Quarantine: quarantine,
 		Registrar: n, Auditor: n.agent, Log: log, Metrics: metrics,
 	}
-	processor := &wharfprocessor.Meter{Log: log, Metrics: metrics}
 	n.caller = newHTTPServer(n.proxy, processor)
 	n.admin = newHTTPServer(api.Handler(), processor)
 	n.grpc = grpc.NewServer(wharfpeers.ServerOptions()...)
