Set keep-alive options on the listener instead of each connection

Package net sets four options on each connection that it accepts or makes. Linux passes those of a listener on to what it accepts, and connections to the target on the same VM need none.

Kept because it is four system calls less and no slower.

--- a/wharf/wharfsocket/network.go
+++ b/wharf/wharfsocket/network.go
@@ -45,13 +45,13 @@
 // LongLived returns a function that makes connections on which an unresponsive peer is
 // detected within seconds. The timeout bounds the setup.
 func LongLived(timeout time.Duration) DialFunc {
-	return dialWith(&net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control})
+	return dialWith(&net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: control(dialOptions)})
 }
 
-// Plain returns a function that makes connections with the options of the operating system.
-// The timeout bounds the setup.
+// Plain returns a function that makes connections with the options of the operating system,
+// without probes. The timeout bounds the setup.
 func Plain(timeout time.Duration) DialFunc {
-	return dialWith(&net.Dialer{Timeout: timeout})
+	return dialWith(&net.Dialer{Timeout: timeout, KeepAlive: disabled})
 }
 
 func dialWith(d *net.Dialer) DialFunc {
--- a/wharf/wharfsocket/socket.go
+++ b/wharf/wharfsocket/socket.go
@@ -20,21 +20,47 @@
 	// unackedTimeout is the TCP user timeout: the kernel closes a connection if
 	// sent bytes stay unacknowledged for this long.
 	unackedTimeout = 2 * time.Second
+	// disabled keeps package net from setting keep-alive options on each connection.
+	disabled = -1
 )
 
-// keepAlive configures the probes on idle connections.
+// keepAlive configures the probes on idle connections that the node opens.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 
-// control sets the socket option for which package net has no setting.
-func control(_, _ string, c syscall.RawConn) error {
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// socketOption is an integer option of a TCP socket.
+type socketOption struct{ level, name, value int }
+
+// dialOptions are the options for which package net has no setting.
+var dialOptions = []socketOption{
+	{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())},
+}
+
+// listenOptions are the options of a listener. Linux passes them on to the connections that
+// it accepts, which saves the calls that would set them on each one.
+var listenOptions = append([]socketOption{
+	{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+	{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(probeIdle.Seconds())},
+	// The unit of the interval is a second, so that it is rounded up.
+	{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int((probeInterval + time.Second - 1).Seconds())},
+	{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount},
+}, dialOptions...)
+
+// control returns a function that sets options of a socket before it is used.
+func control(options []socketOption) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var optionErr error
+		err := c.Control(func(fd uintptr) {
+			for _, o := range options {
+				if optionErr = unix.SetsockoptInt(int(fd), o.level, o.name, o.value); optionErr != nil {
+					return
+				}
+			}
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
 	}
-	return optionErr
 }
 
 // CanConnect reports whether the address accepts a TCP connection within the
@@ -50,5 +76,5 @@
 
 // listenConfig returns the configuration of a node's listeners.
 func listenConfig() *net.ListenConfig {
-	return &net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
+	return &net.ListenConfig{Control: control(listenOptions), KeepAlive: disabled}
 }
