Send calls away from nodes that are out of processor

Cause: senders compare targets by the slots in use. The nodes beside ingestsvc have 405 slots and run out of processor with a quarter of them in use, so they look idle; and a target of the sender's own failure domain is preferred until it costs twice as much as the others, however long requests wait there.

A node that knows what its processor can carry now reports the limit that follows from its utilization, and the preference for the own domain ends where its target is full.

--- a/wharf/wharfadmission/processordelay_test.go
+++ b/wharf/wharfadmission/processordelay_test.go
@@ -82,3 +82,34 @@
 		})
 	}
 }
+
+// TestLimitFollowsProcessor guards against a node that is short of processor time and still
+// looks idle to the nodes that choose among the targets of a service by their slots.
+func TestLimitFollowsProcessor(t *testing.T) {
+	tests := []struct {
+		name        string
+		utilization float64
+		busy, want  int
+	}{
+		{"not known", 0, 30, 400},
+		{"half in use", 0.5, 30, 62},
+		{"requests wait", 1.5, 29, 20},
+		{"idle target", 1.5, 0, 1},
+		{"target full", 0.1, 300, 400},
+	}
+	const slots = 400
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(ProcessorLoad{Utilization: tc.utilization}.Limit(slots, tc.busy), tc.want)
+		})
+	}
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var p ProcessorLimit
+	for range 500 {
+		now = now.Add(time.Millisecond)
+		p.RecordCall()
+		p.Observe(now, 30*time.Millisecond)
+	}
+	is.True(p.Load(now).Utilization > 1)
+}
--- a/wharf/wharfadmission/processorlimit.go
+++ b/wharf/wharfadmission/processorlimit.go
@@ -29,12 +29,24 @@
 	// PerSecond is the number of calls a second, and Backlog the part of it that is needed
 	// for the requests that wait for the processor.
 	PerSecond, Backlog float64
+	// Utilization is the share of PerSecond that is in use, above one while requests wait.
+	Utilization float64
 }
 
-// ProcessorLimit estimates how many calls of other nodes the processor of a node can
-// carry. The rate of calls while requests wait for the processor is all that it can carry,
-// whatever a call costs and whatever else the processor does. A ProcessorLimit isn't safe
-// for concurrent use. The zero ProcessorLimit knows no limit.
+// Limit returns the number of calls that a node can have in progress, of which there are
+// busy ones and for which the target has slots. Senders compare the nodes of a service by
+// what is in progress relative to this limit.
+func (l ProcessorLoad) Limit(slots, busy int) int {
+	if l.Utilization == 0 {
+		return slots
+	}
+	return min(max(int(float64(busy+1)/l.Utilization), 1), slots)
+}
+
+// ProcessorLimit estimates how many calls to its target the processor of a node can carry.
+// The rate of calls while requests wait for the processor is all that it can
+// carry, whatever a call costs and whatever else the processor does. A ProcessorLimit isn't
+// safe for concurrent use. The zero ProcessorLimit knows no limit.
 type ProcessorLimit struct {
 	delay       ProcessorDelay
 	windowStart time.Time
@@ -42,12 +54,14 @@
 	// capacity is the number of calls a second that the processor can carry, zero if it
 	// isn't known.
 	capacity float64
+	// rate is the number of calls a second in the last window.
+	rate float64
 	// sufficient counts the windows in which the node had enough processor time since it
 	// was last short of it.
 	sufficient int
 }
 
-// RecordCall records a call of another node.
+// RecordCall records a call that has arrived.
 func (p *ProcessorLimit) RecordCall() {
 	p.calls++
 }
@@ -72,13 +86,16 @@
 
 // Load returns what the processor can carry.
 func (p *ProcessorLimit) Load(now time.Time) ProcessorLoad {
+	if p.capacity == 0 {
+		return ProcessorLoad{}
+	}
 	share := min(p.delay.Mean(now).Seconds()/backlogTime.Seconds(), maxBacklogShare)
-	return ProcessorLoad{PerSecond: p.capacity, Backlog: share * p.capacity}
+	return ProcessorLoad{PerSecond: p.capacity, Backlog: share * p.capacity, Utilization: p.rate/p.capacity + share}
 }
 
 func (p *ProcessorLimit) endWindow(now time.Time) {
 	rate := float64(p.calls) / now.Sub(p.windowStart).Seconds()
-	p.windowStart, p.calls = now, 0
+	p.windowStart, p.calls, p.rate = now, 0, rate
 	switch {
 	case p.delay.Short(now):
 		p.sufficient = 0
--- a/wharf/wharfrouting/locality_test.go
+++ b/wharf/wharfrouting/locality_test.go
@@ -64,3 +64,48 @@
 		})
 	}
 }
+
+// TestFullTargetOfOwnDomainIsNotPreferred guards against requests that wait at the only
+// target of the sender's domain while those of other domains have room.
+func TestFullTargetOfOwnDomainIsNotPreferred(t *testing.T) {
+	const (
+		limit = 50
+		picks = 200
+	)
+	tests := []struct {
+		name          string
+		local, others int
+		stays         bool
+	}{
+		{"room everywhere", 30, 25, true},
+		{"no room in the own domain", 60, 45, false},
+		{"no room anywhere", 60, 80, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b, rng := NewBalancer(senderLocality), rand.New(rand.NewPCG(1, 2))
+			targets := []Target{
+				{Address: "local", Slots: limit, FailureDomain: senderLocality.FailureDomain, Region: "r"},
+				{Address: "b", Slots: limit, FailureDomain: "b", Region: "r"},
+				{Address: "c", Slots: limit, FailureDomain: "c", Region: "r"},
+			}
+			b.SetTargets(epoch, targets)
+			local := 0
+			for range picks {
+				for _, target := range targets {
+					running := tc.others
+					if target.Address == "local" {
+						running = tc.local
+					}
+					b.Observe(epoch, target.Address, "", Responded, 50*time.Millisecond, &LoadReport{Running: running, Limit: limit})
+				}
+				if target, _ := b.Pick(epoch, rng, Request{}); target.Address == "local" {
+					local++
+				}
+			}
+			t.Logf("%d of %d stay in the domain", local, picks)
+			is.Equal(local > picks/2, tc.stays)
+		})
+	}
+}
--- a/wharf/wharfrouting/target.go
+++ b/wharf/wharfrouting/target.go
@@ -110,9 +110,12 @@
 	// leaves the failure domain only for a target that is faster, or once the targets of
 	// the domain are busy.
 	lightLoad = 0.4
+	// heavyLoad is the load, as a share of the limit, above which requests soon wait.
+	heavyLoad = 0.8
 
 	// otherDomainFactor and otherRegionFactor multiply the cost of a target in
-	// another failure domain and in another region.
+	// another failure domain and in another region. The advantage of the own domain shrinks
+	// above the load heavyLoad of its target, and is gone once that is full.
 	otherDomainFactor = 2.0
 	otherRegionFactor = 8.0
 )
@@ -168,7 +171,8 @@
 		limit = s.report.Limit
 		busy = max(busy, s.report.Running+s.report.Queued)
 	}
-	cost := max(float64(busy+1)/float64(max(limit, 1)), lightLoad) + lossCost*s.lossRate(now)
+	load := max(float64(busy+1)/float64(max(limit, 1)), lightLoad)
+	cost := load + lossCost*s.lossRate(now)
 	if latency := cmp.Or(s.latency, usualLatency); latency > 0 {
 		cost *= latency
 	}
@@ -180,6 +184,8 @@
 		cost *= otherRegionFactor
 	case s.FailureDomain != p.FailureDomain:
 		cost *= otherDomainFactor
+	default:
+		cost *= 1 + (otherDomainFactor-1)*min(max((load-heavyLoad)/(1-heavyLoad), 0), 1)
 	}
 	return cost
 }
--- a/wharfnode/internal/wharfprocessor/meter.go
+++ b/wharfnode/internal/wharfprocessor/meter.go
@@ -41,7 +41,7 @@
 	m.observe(now, wait)
 }
 
-// RecordCall records a call of another node.
+// RecordCall records a call of another node, or of this one, that has arrived.
 func (m *Meter) RecordCall() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -246,6 +246,7 @@
 func (t *target) load(s *Server, c *call) *wharfwire.Load {
 	rank := int(c.head.GetRank())
 	downstreamDelay, downstreamShare := s.Backpressure.DownstreamDelay(), s.Backpressure.DownstreamShare(rank)
+	processor := s.Processor.Load()
 	t.mu.Lock()
 	l, wait := t.gate.Load(), t.gate.EstimatedWait(wharfadmission.LastRank)
 	admitted := min(t.shares.Admitted(rank), downstreamShare)
@@ -254,7 +255,7 @@
 	return &wharfwire.Load{
 		InFlight:   uint32(l.Running),
 		Queued:     uint32(l.Queued),
-		Limit:      uint32(l.Limit),
+		Limit:      uint32(processor.Limit(l.Limit, l.Running+l.Queued)),
 		RouteLevel: uint32(level),
 		LowestRank: uint32(max(l.LeastImportantRank, 0)),
 		Room:       uint32(l.QueueRoom),
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -49,7 +49,7 @@
 
 // processor knows what the processor of the node can carry.
 type processor interface {
-	// RecordCall records a call of another node.
+	// RecordCall records a call that has arrived.
 	RecordCall()
 	// Load returns what the processor can carry.
 	Load() wharfadmission.ProcessorLoad
