Ask the process of a silent node for an answer, not its kernel

Cause: a node whose calls get no responses was probed by the set-up of a connection. The kernel accepts connections for a process that is paused, so the stall detector began anew. Class of fault: evidence of the machine taken for evidence of the process.

Nodes now answer a small request on the port that serves calls. A failed probe keeps further calls away; after the second one the calls that may run twice go elsewhere. Others wait as before while the node accepts connections: it may resume and respond. Probing ends with the node.

--- a/wharfnode/internal/wharfliveness/monitor.go
+++ b/wharfnode/internal/wharfliveness/monitor.go
@@ -15,8 +15,9 @@
 	// dialTimeout bounds one probe, which is the set-up of one connection. It
 	// covers the round trip between regions.
 	dialTimeout = 250 * time.Millisecond
-	// probeAttempts is the number of failed probes after which the server is
-	// unresponsive. A single failure may be a lost packet.
+	// probeAttempts is the number of failed probes after which the calls in flight are
+	// cancelled. A single failure may be a lost packet, so that it only keeps further calls
+	// from the server.
 	probeAttempts = 2
 	// probeInterval is the pause after a failed probe.
 	probeInterval = 100 * time.Millisecond
@@ -26,6 +27,32 @@
 	probeWindow = 30 * time.Second
 )
 
+// Liveness is what a probe finds out about a server.
+type Liveness uint8
+
+// Results of a probe.
+const (
+	// Dead means that the server accepts no connection.
+	Dead Liveness = iota
+	// Silent means that the server accepts connections and doesn't answer. The kernel
+	// accepts them also while the process is paused.
+	Silent
+	// Alive means that the server answers, or that only its connections are probed.
+	Alive
+)
+
+// Probe returns whether the server at an address is alive. It takes at most a few hundred
+// milliseconds.
+type Probe func(ctx context.Context, address string) Liveness
+
+// probeConnection probes a server by the set-up of a connection.
+func probeConnection(ctx context.Context, address string) Liveness {
+	if wharfsocket.CanConnect(ctx, address, dialTimeout) {
+		return Alive
+	}
+	return Dead
+}
+
 // ErrUnresponsive is the cancellation cause of calls to an unresponsive server.
 var ErrUnresponsive = errors.New("server is unresponsive")
 
@@ -36,18 +63,25 @@
 	// Address is the host and port of the server. It is probed when calls get no
 	// responses.
 	Address string
+	// Probe probes the server. By default it is probed by the set-up of a connection.
+	Probe Probe
 	// OnChange is called when the server becomes unresponsive, and again when it
-	// accepts connections. It may be nil.
+	// is alive. It may be nil.
 	OnChange func(unresponsive bool)
 
 	mu           sync.Mutex
 	stall        wharfrouting.StallDetector
 	unresponsive bool
+	// notified is true once OnChange was called for an unresponsive server.
+	notified bool
 	// armed is true while a timer for check is set or the server is being probed.
 	armed bool
 	// responses counts the responses of the server.
 	responses uint64
 	calls     map[*Call]struct{}
+	// stopped is true after Stop, and stopProbe ends the probing of the server, if any.
+	stopped   bool
+	stopProbe context.CancelFunc
 }
 
 // Call is a monitored call in flight.
@@ -55,6 +89,8 @@
 	monitor *Monitor
 	cancel  context.CancelCauseFunc
 	started time.Time
+	// repeatable is true if the call may be sent to another server, too.
+	repeatable bool
 	// timer cancels the call at its deadline.
 	timer *time.Timer
 }
@@ -69,10 +105,12 @@
 // Begin starts to monitor a call; the caller ends it with Call.End. The context
 // that Begin returns is cancelled with the cause ErrUnresponsive if the server
 // becomes unresponsive, and with the cause context.DeadlineExceeded at the deadline.
-// It is one context for both, because each context costs several allocations.
-func (m *Monitor) Begin(ctx context.Context, deadline time.Time) (context.Context, *Call) {
+// It is one context for both, because each context costs several allocations. A call that
+// isn't repeatable goes on while the server accepts connections: the server may be paused,
+// and respond later.
+func (m *Monitor) Begin(ctx context.Context, deadline time.Time, repeatable bool) (context.Context, *Call) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &Call{monitor: m, cancel: cancel, started: time.Now()}
+	c := &Call{monitor: m, cancel: cancel, started: time.Now(), repeatable: repeatable}
 	c.timer = time.AfterFunc(deadline.Sub(c.started), c.expire)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -137,18 +175,29 @@
 	delete(c.monitor.calls, c)
 }
 
-// probe connects to the server until it accepts a connection or probeWindow is
-// over. responsesBefore is the number of responses when the stall was detected.
+// probe probes the server until it is alive or probeWindow is over. responsesBefore is the
+// number of responses when the stall was detected.
 func (m *Monitor) probe(responsesBefore uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeWindow)
 	defer cancel()
+	if !m.beginProbing(cancel) {
+		return
+	}
+	probe := m.Probe
+	if probe == nil {
+		probe = probeConnection
+	}
 	for failed := 0; ctx.Err() == nil; {
-		if wharfsocket.CanConnect(ctx, m.Address, dialTimeout) {
+		liveness := probe(ctx, m.Address)
+		if liveness == Alive {
 			m.markRecovered(true)
 			return
 		}
 		failed++
-		if failed == probeAttempts && !m.markUnresponsive(responsesBefore) {
+		if failed == 1 {
+			m.suspect(responsesBefore)
+		}
+		if failed == probeAttempts && !m.markUnresponsive(responsesBefore, liveness) {
 			break
 		}
 		wharftimer.Sleep(ctx, probeInterval)
@@ -156,33 +205,60 @@
 	m.markRecovered(false)
 }
 
+// suspect keeps further calls from the server after a failed probe, unless a response has
+// arrived since the stall was detected.
+func (m *Monitor) suspect(responsesBefore uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unresponsive = m.responses == responsesBefore
+}
+
+// beginProbing records the function that ends the probing. It returns false after Stop.
+func (m *Monitor) beginProbing(stop context.CancelFunc) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopProbe = stop
+	return !m.stopped
+}
+
+// Stop ends the probing of the server for good.
+func (m *Monitor) Stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopped = true
+	if m.stopProbe != nil {
+		m.stopProbe()
+	}
+}
+
 // markUnresponsive marks the server as unresponsive and cancels the calls in
-// flight. It returns false and does nothing if a response has arrived since the
-// stall was detected.
-func (m *Monitor) markUnresponsive(responsesBefore uint64) bool {
+// flight, of a silent server only the repeatable ones. It returns false and does nothing if a
+// response has arrived since the stall was detected.
+func (m *Monitor) markUnresponsive(responsesBefore uint64, liveness Liveness) bool {
 	m.mu.Lock()
 	if m.responses != responsesBefore {
 		m.mu.Unlock()
 		return false
 	}
-	m.unresponsive = true
+	m.unresponsive, m.notified = true, true
 	for c := range m.calls {
-		c.cancel(ErrUnresponsive)
+		if c.repeatable || liveness == Dead {
+			c.cancel(ErrUnresponsive)
+		}
 	}
 	m.mu.Unlock()
 	m.notifyChange(true)
 	return true
 }
 
-// markRecovered allows calls again. reachable is true if the server has accepted
-// a connection; otherwise only further calls can show whether it responds.
+// markRecovered allows calls again. reachable is true if the server is alive; otherwise only further calls can show whether it responds.
 func (m *Monitor) markRecovered(reachable bool) {
 	m.mu.Lock()
-	wasUnresponsive := m.unresponsive
-	m.unresponsive, m.armed = false, false
+	wasNotified := m.notified
+	m.unresponsive, m.notified, m.armed = false, false, false
 	m.stall.Reset()
 	m.mu.Unlock()
-	if wasUnresponsive && reachable {
+	if wasNotified && reachable {
 		m.notifyChange(false)
 	}
 }
--- a/wharfnode/internal/wharfliveness/monitor_test.go
+++ b/wharfnode/internal/wharfliveness/monitor_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	var contexts []context.Context
 	for range 3 {
-		ctx, c := m.Begin(t.Context(), time.Now().Add(time.Minute))
+		ctx, c := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
 		t.Cleanup(c.End)
 		contexts = append(contexts, ctx)
 		time.Sleep(150 * time.Millisecond)
@@ -54,7 +54,7 @@
 	}
 	listen(t, address)
 	wharftest.Eventually(t, "the server has recovered", func() bool { return !m.Unresponsive() })
-	ctx, c := m.Begin(t.Context(), time.Now().Add(time.Minute))
+	ctx, c := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
 	is.NoErr(ctx.Err())
 	c.End()
 	is.True(!errors.Is(context.Cause(ctx), ErrUnresponsive))
@@ -79,10 +79,10 @@
 	l := listen(t, "127.0.0.1:0")
 	is.NoErr(l.Close())
 	m := &Monitor{Address: l.Addr().String()}
-	ctx, first := m.Begin(t.Context(), time.Now().Add(time.Minute))
+	ctx, first := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
 	defer first.End()
 	time.Sleep(300 * time.Millisecond)
-	_, second := m.Begin(t.Context(), time.Now().Add(time.Minute))
+	_, second := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
 	defer second.End()
 	second.RecordResponse()
 	time.Sleep(2 * probeInterval)
--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -58,7 +58,7 @@
 	if monitor.Unresponsive() {
 		return notSentResult(wharfoutcome.ReasonUnreachable, wharfrouting.Unreachable)
 	}
-	ctx, monitored := monitor.Begin(c.ctx, c.deadline.Add(outcomeGrace))
+	ctx, monitored := monitor.Begin(c.ctx, c.deadline.Add(outcomeGrace), c.policy.Idempotent)
 	defer monitored.End()
 	x := &transfer{
 		proxy: p, call: c, target: target, ctx: ctx, monitored: monitored,
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -156,7 +156,7 @@
 		Route:    c.head.GetRoute(),
 	})
 	s.Backpressure.RecordServed(c.head.GetRoute())
-	ctx, monitored := c.target.monitor.Begin(dispatchContext(c), c.deadline)
+	ctx, monitored := c.target.monitor.Begin(dispatchContext(c), c.deadline, c.head.GetIdempotent())
 	defer monitored.End()
 	conn := connection{cancel: monitored.Cancel}
 	response, err := s.client.roundTrip(s.request(c, ctx, &conn), c.head.GetIdempotent())
--- a/wharfnode/internal/wharftransport/client.go
+++ b/wharfnode/internal/wharftransport/client.go
@@ -76,7 +76,7 @@
 		return m.(*wharfliveness.Monitor)
 	}
 	m, _ := c.monitors.LoadOrStore(address, &wharfliveness.Monitor{
-		Address: address, OnChange: func(unresponsive bool) { c.onLivenessChange(address, unresponsive) },
+		Address: address, Probe: probeNode, OnChange: func(unresponsive bool) { c.onLivenessChange(address, unresponsive) },
 	})
 	return m.(*wharfliveness.Monitor)
 }
@@ -99,8 +99,12 @@
 	return &exchange{client: c, ctx: ctx, address: address, body: buffers.Get().(*bytes.Buffer)}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections and ends the probing of nodes.
 func (c *Client) Close() {
+	c.monitors.Range(func(_, m any) bool {
+		m.(*wharfliveness.Monitor).Stop()
+		return true
+	})
 	if c.transport != nil {
 		c.transport.CloseIdleConnections()
 	}
--- a/wharfnode/wharfserver/link_test.go
+++ b/wharfnode/wharfserver/link_test.go
@@ -100,6 +100,12 @@
 	_ = l.listener.Close()
 }
 
+// freeze stops or resumes the forwarding of data in both directions, while connections stay
+// open and new ones are accepted, as when the process behind the link is paused.
+func (l *link) freeze(frozen bool) {
+	l.blackholed.Store(frozen)
+}
+
 // setDown interrupts or restores the link. An interruption closes the
 // connections.
 func (l *link) setDown(down bool) {
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -264,6 +264,8 @@
 		h.control.ServeHTTP(w, r)
 	case r.URL.Path == wharftransport.Path:
 		h.calls.ServeHTTP(w, r)
+	case r.URL.Path == wharftransport.ProbePath:
+		w.WriteHeader(http.StatusNoContent)
 	default:
 		http.NotFound(w, r)
 	}
--- a/wharfnode/wharfserver/unresponsive_test.go
+++ b/wharfnode/wharfserver/unresponsive_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"ragwortwharf.dev/wharf/wharfsocket/wharfmemnet"
 	"ragwortwharf.dev/wharfnode/internal/wharftest"
 )
 
@@ -17,13 +18,16 @@
 // above the time of two connection probes.
 const failoverLimit = 2 * time.Second
 
-// sendFor sends an idempotent request every 20 ms for the period. It returns
+// sendInterval is the interval at which sendFor sends requests.
+const sendInterval = 20 * time.Millisecond
+
+// sendFor sends an idempotent request every sendInterval for the period. It returns
 // the longest duration of a request and the number of requests that weren't
 // served.
 func (n *testNode) sendFor(service string, period time.Duration) (slowest time.Duration, unserved int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(sendInterval) {
 		wg.Go(func() {
 			started := time.Now()
 			got := n.send(request{service: service})
@@ -109,3 +113,40 @@
 	is.Equal(unserved, 0)
 	is.True(slowest < failoverLimit)
 }
+
+// TestFrozenNodeIsAvoided guards against requests that wait until their deadline for the node
+// of one of two targets whose process is paused, while the kernel of its VM still accepts
+// connections, and against a node that gets no requests after it has resumed.
+func TestFrozenNodeIsAvoided(t *testing.T) {
+	wharfmemnet.RunInBubble(t, func(t *testing.T) {
+		const (
+			// notice is the time after which a frozen node gets no more requests, and
+			// maxUnserved the share of the later ones that may fail.
+			notice      = 600 * time.Millisecond
+			later       = time.Second
+			maxUnserved = 0.05
+			// recovery is the time within which the node gets requests again.
+			recovery = 2 * time.Second
+		)
+		is := is.New(t)
+		c := newTestCluster(t)
+		n, other, sender := c.startNode("domain-a"), c.startNode("domain-b"), c.startNode("domain-c")
+		var arrivals atomic.Int32
+		c.startTarget(n, "work", func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
+		c.startTarget(other, "work", func(http.ResponseWriter, *http.Request) {})
+		_, unserved := sender.sendFor("work", 200*time.Millisecond)
+		is.Equal(unserved, 0)
+		n.link.freeze(true)
+		slowest, unserved := sender.sendFor("work", notice)
+		t.Logf("%d unserved at first, the slowest took %v", unserved, slowest)
+		is.True(slowest < failoverLimit)
+		_, unserved = sender.sendFor("work", later)
+		is.True(float64(unserved) <= maxUnserved*float64(later/sendInterval))
+		n.link.freeze(false)
+		time.Sleep(recovery)
+		before := arrivals.Load()
+		_, unserved = sender.sendFor("work", 200*time.Millisecond)
+		is.Equal(unserved, 0)
+		is.True(arrivals.Load() > before)
+	})
+}
