--- a/wharfnode/wharfevents/catalogue.go
+++ b/wharfnode/wharfevents/catalogue.go
@@ -93,8 +93,8 @@
 	HandOverFailed    = Event{5007, "hand-over-failed", log.ErrorLevel, "records of keys couldn't be handed over"}
 	IncarnationRaised = Event{5008, "incarnation-raised", log.WarnLevel, "incarnation raised"}
 
-	NodeUnresponsive     = Event{5010, "node-silent", log.WarnLevel, "node is unresponsive and accepts no connection"}
-	NodeResponsive       = Event{5011, "node-answers", log.WarnLevel, "unresponsive node accepts connections again"}
+	NodeUnresponsive     = Event{5010, "node-silent", log.WarnLevel, "node is unresponsive"}
+	NodeResponsive       = Event{5011, "node-answers", log.WarnLevel, "unresponsive node answers again"}
 	EntryRewritten       = Event{5012, "entry-rewritten", log.InfoLevel, "entry of this node written again after the log was restored"}
 	DirectoryUnavailable = Event{5009, "directory-unavailable", log.WarnLevel, "directory of nodes can't be read or written"}
 )
