Cancel repeatable calls to a silent node after the first failed probe

Whether the probe had a connection now tells a silent node from one that can't be reached.

Calls of 0.7 to 0.8 s had hardly time for a second target after the 0.85 s until the second failed probe. A node that accepts a connection and doesn't answer within 250 ms, after a stall of at least as long, has no lost packet to excuse it: the calls that may run twice go elsewhere at once.

TestSilentServerEndsRepeatableCalls, TestStopEndsProbing. A load report of the processor older than a second doesn't count any more.

--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -21,9 +21,9 @@
 
 // CapacityShares computes which share of the client requests of each rank a target can
 // serve, from its capacity and that of the processor of its node, and from the rates at
-// which calls of the ranks arrive. The nodes upstream admit that share, see DownstreamShares. The more important ranks come
-// first. A CapacityShares isn't safe for concurrent use. The zero CapacityShares gives
-// every rank the share one.
+// which calls of the ranks arrive. The nodes upstream admit that share, see
+// DownstreamShares. The more important ranks come first. A CapacityShares isn't safe for
+// concurrent use. The zero CapacityShares gives every rank the share one.
 type CapacityShares struct {
 	windowStart time.Time
 	arrivals    [rankCount]int
--- a/wharf/wharfadmission/processorlimit.go
+++ b/wharf/wharfadmission/processorlimit.go
@@ -44,9 +44,9 @@
 }
 
 // ProcessorLimit estimates how many calls to its target the processor of a node can carry.
-// The rate of calls while requests wait for the processor is all that it can
-// carry, whatever a call costs and whatever else the processor does. A ProcessorLimit isn't
-// safe for concurrent use. The zero ProcessorLimit knows no limit.
+// The rate of calls while requests wait for the processor is all that it can carry, whatever
+// a call costs and whatever else the processor does. A ProcessorLimit isn't safe for
+// concurrent use. The zero ProcessorLimit knows no limit.
 type ProcessorLimit struct {
 	delay       ProcessorDelay
 	windowStart time.Time
@@ -86,7 +86,7 @@
 
 // Load returns what the processor can carry.
 func (p *ProcessorLimit) Load(now time.Time) ProcessorLoad {
-	if p.capacity == 0 {
+	if p.capacity == 0 || now.Sub(p.delay.last) > maxProcessorPause {
 		return ProcessorLoad{}
 	}
 	share := min(p.delay.Mean(now).Seconds()/backlogTime.Seconds(), maxBacklogShare)
--- a/wharfnode/internal/wharfliveness/monitor.go
+++ b/wharfnode/internal/wharfliveness/monitor.go
@@ -15,9 +15,9 @@
 	// dialTimeout bounds one probe, which is the set-up of one connection. It
 	// covers the round trip between regions.
 	dialTimeout = 250 * time.Millisecond
-	// probeAttempts is the number of failed probes after which the calls in flight are
-	// cancelled. A single failure may be a lost packet, so that it only keeps further calls
-	// from the server.
+	// probeAttempts is the number of failed probes after which the server is unresponsive.
+	// A single failure may be a lost packet, so that it only keeps further calls from the
+	// server.
 	probeAttempts = 2
 	// probeInterval is the pause after a failed probe.
 	probeInterval = 100 * time.Millisecond
@@ -195,7 +195,7 @@
 		}
 		failed++
 		if failed == 1 {
-			m.suspect(responsesBefore)
+			m.suspect(responsesBefore, liveness)
 		}
 		if failed == probeAttempts && !m.markUnresponsive(responsesBefore, liveness) {
 			break
@@ -206,11 +206,28 @@
 }
 
 // suspect keeps further calls from the server after a failed probe, unless a response has
-// arrived since the stall was detected.
-func (m *Monitor) suspect(responsesBefore uint64) {
+// arrived since the stall was detected. The repeatable calls to a silent server are cancelled
+// at once, so that those with a short deadline still have time for another server.
+func (m *Monitor) suspect(responsesBefore uint64, liveness Liveness) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unresponsive = m.responses == responsesBefore
+	if m.responses != responsesBefore {
+		return
+	}
+	m.unresponsive = true
+	if liveness == Silent {
+		m.cancelCalls(false)
+	}
+}
+
+// cancelCalls cancels the calls in flight, either all or the repeatable ones. The caller
+// holds the lock.
+func (m *Monitor) cancelCalls(all bool) {
+	for c := range m.calls {
+		if all || c.repeatable {
+			c.cancel(ErrUnresponsive)
+		}
+	}
 }
 
 // beginProbing records the function that ends the probing. It returns false after Stop.
@@ -241,17 +258,14 @@
 		return false
 	}
 	m.unresponsive, m.notified = true, true
-	for c := range m.calls {
-		if c.repeatable || liveness == Dead {
-			c.cancel(ErrUnresponsive)
-		}
-	}
+	m.cancelCalls(liveness == Dead)
 	m.mu.Unlock()
 	m.notifyChange(true)
 	return true
 }
 
-// markRecovered allows calls again. reachable is true if the server is alive; otherwise only further calls can show whether it responds.
+// markRecovered allows calls again. reachable is true if the server is alive; otherwise
+// only further calls can show whether it responds.
 func (m *Monitor) markRecovered(reachable bool) {
 	m.mu.Lock()
 	wasNotified := m.notified
--- a/wharfnode/internal/wharfliveness/monitor_test.go
+++ b/wharfnode/internal/wharfliveness/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,3 +90,50 @@
 	is.NoErr(ctx.Err())
 	is.True(!m.Unresponsive())
 }
+
+// TestSilentServerEndsRepeatableCalls guards against calls that wait until their deadline
+// for a server that accepts connections and doesn't answer, and against calls that are given
+// up although the server may still respond to them and they can't be sent again.
+func TestSilentServerEndsRepeatableCalls(t *testing.T) {
+	is := is.New(t)
+	var alive atomic.Bool
+	m := &Monitor{Probe: func(context.Context, string) Liveness {
+		if alive.Load() {
+			return Alive
+		}
+		return Silent
+	}}
+	repeatable, first := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
+	defer first.End()
+	other, second := m.Begin(t.Context(), time.Now().Add(time.Minute), false)
+	defer second.End()
+	<-repeatable.Done()
+	is.True(errors.Is(context.Cause(repeatable), ErrUnresponsive))
+	is.True(m.Unresponsive())
+	time.Sleep(2 * probeAttempts * probeInterval)
+	is.NoErr(other.Err())
+	alive.Store(true)
+	wharftest.Eventually(t, "the server has recovered", func() bool { return !m.Unresponsive() })
+	is.NoErr(other.Err())
+}
+
+// TestStopEndsProbing guards against a monitor that goes on probing a server after its node
+// has stopped.
+func TestStopEndsProbing(t *testing.T) {
+	is := is.New(t)
+	var probes atomic.Int32
+	m := &Monitor{Probe: func(context.Context, string) Liveness {
+		probes.Add(1)
+		return Dead
+	}}
+	_, c := m.Begin(t.Context(), time.Now().Add(time.Minute), true)
+	defer c.End()
+	wharftest.Eventually(t, "the server is probed", func() bool { return probes.Load() > 0 })
+	m.Stop()
+	wharftest.Eventually(t, "the probing has ended", func() bool {
+		before := probes.Load()
+		time.Sleep(2 * probeInterval)
+		return probes.Load() == before
+	})
+	is.True(probes.Load() < 10)
+}
--- a/wharfnode/internal/wharftransport/probe.go
+++ b/wharfnode/internal/wharftransport/probe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfsocket"
@@ -25,17 +27,20 @@
 func probeNode(ctx context.Context, address string) wharfliveness.Liveness {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://"+address+ProbePath, http.NoBody)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodHead, "http://"+address+ProbePath, http.NoBody)
 	if err != nil {
 		return wharfliveness.Dead
 	}
 	response, err := probeTransport.RoundTrip(r)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = response.Body.Close()
 		return wharfliveness.Alive
-	}
-	if wharfsocket.CanConnect(context.WithoutCancel(ctx), address, probeTimeout) {
+	case connected.Load():
 		return wharfliveness.Silent
+	default:
+		return wharfliveness.Dead
 	}
-	return wharfliveness.Dead
 }
