Take turns on the processor for its limit, not calls that arrive

What callers saw: reads refused although the nodes could carry them.

Cause: the limit was the rate of calls that arrive while requests wait for the processor. On a node whose target makes five calls for each that it gets, requests wait for calls that came before. If few arrive at that moment, because senders keep to the last report, that rate counted as all that the processor can carry: 59 to 400 calls a second in the logs of nodes that carried 350 to 450. It takes seconds to grow back.

The rate of turns while requests wait doesn't depend on that. Divided by the turns for each call, over two seconds, it is the limit.

--- a/wharf/wharfadmission/processorlimit.go
+++ b/wharf/wharfadmission/processorlimit.go
@@ -19,7 +19,10 @@
 	// measured in a short stall isn't what the processor can carry.
 	idleProcessorDelay  = processorDelayThreshold / 6
 	idleProcessorFactor = 1.05
-	// unusedProcessorRatio is the ratio of the estimate to the rate of calls above which
+	// turnsWeight is the weight of a new window in the moving averages of turns and calls. They
+	// cover the time in which a request makes its calls, several times.
+	turnsWeight = 0.05
+	// unusedProcessorRatio is the ratio of the estimate to the rate of turns above which
 	// the estimate is dropped.
 	unusedProcessorRatio = 4.0
 	// backlogTime is the time in which the requests that wait for the processor are to be
@@ -34,7 +37,7 @@
 	// PerSecond is the number of calls a second, and Backlog the part of it that is needed
 	// for the requests that wait for the processor.
 	PerSecond, Backlog float64
-	// Utilization is the share of PerSecond that is in use, above one while requests wait.
+	// Utilization is the share of the processor that is in use, above one while requests wait.
 	Utilization float64
 }
 
@@ -49,17 +52,22 @@
 }
 
 // ProcessorLimit estimates how many calls to its target the processor of a node can carry.
-// The rate of calls while requests wait for the processor is all that it can carry, whatever
-// a call costs and whatever else the processor does. A ProcessorLimit isn't safe for
-// concurrent use. The zero ProcessorLimit knows no limit.
+// Each request takes a turn on the processor: the calls that the node gets, those that its target
+// makes for them, and the requests of clients. The rate of turns while requests wait for the
+// processor is all that it can carry, whatever a turn costs and whatever else the processor does. The
+// rate of calls at that moment isn't: the turns may belong to calls that came before. A ProcessorLimit
+// isn't safe for concurrent use. The zero ProcessorLimit knows no limit.
 type ProcessorLimit struct {
 	delay       ProcessorDelay
 	windowStart time.Time
 	calls       int
-	// capacity is the number of calls a second that the processor can carry, zero if it
+	turns       int
+	// meanCalls and meanTurns are moving averages of the calls and turns in a second.
+	meanCalls, meanTurns float64
+	// capacity is the number of turns a second that the processor can carry, zero if it
 	// isn't known.
 	capacity float64
-	// rate is the number of calls a second in the last window.
+	// rate is the number of turns a second in the last window.
 	rate float64
 	// sufficient counts the windows in which the node had enough processor time since it
 	// was last short of it.
@@ -71,12 +79,13 @@
 	p.calls++
 }
 
-// Observe records how long a request has waited for the processor. It reports whether a
-// window has ended.
+// Observe records a turn, and how long its request has waited for the processor. It reports
+// whether a window has ended.
 func (p *ProcessorLimit) Observe(now time.Time, wait time.Duration) bool {
 	if now.Sub(p.delay.last) > maxProcessorPause {
-		*p = ProcessorLimit{windowStart: now}
+		*p = ProcessorLimit{windowStart: now, calls: p.calls}
 	}
+	p.turns++
 	ended := p.delay.Observe(now, wait)
 	if ended {
 		p.endWindow(now)
@@ -95,12 +104,25 @@
 		return ProcessorLoad{}
 	}
 	share := min(p.delay.Mean(now).Seconds()/backlogTime.Seconds(), maxBacklogShare)
-	return ProcessorLoad{PerSecond: p.capacity, Backlog: share * p.capacity, Utilization: p.rate/p.capacity + share}
+	perSecond := p.capacity / p.turnsPerCall()
+	return ProcessorLoad{PerSecond: perSecond, Backlog: share * perSecond, Utilization: p.rate/p.capacity + share}
+}
+
+// turnsPerCall returns how many turns there are for each call that the node gets, which is at least
+// its own.
+func (p *ProcessorLimit) turnsPerCall() float64 {
+	if p.meanCalls == 0 {
+		return 1
+	}
+	return max(p.meanTurns/p.meanCalls, 1)
 }
 
 func (p *ProcessorLimit) endWindow(now time.Time) {
-	rate := float64(p.calls) / now.Sub(p.windowStart).Seconds()
-	p.windowStart, p.calls, p.rate = now, 0, rate
+	seconds := now.Sub(p.windowStart).Seconds()
+	rate := float64(p.turns) / seconds
+	p.meanCalls = smooth(p.meanCalls, float64(p.calls)/seconds, turnsWeight)
+	p.meanTurns = smooth(p.meanTurns, rate, turnsWeight)
+	p.windowStart, p.calls, p.turns, p.rate = now, 0, 0, rate
 	switch {
 	case p.delay.Short(now):
 		p.sufficient = 0
