Hold the shares of a target while it refuses calls

What callers saw: after the targets of the deepest service had refused calls for some seconds, reads were not served for seconds more, and requests of all ranks failed or came late.

Cause: a request makes no further call after one that failed, so that a target that refuses calls whatever its load gets fewer of them. The shares by capacity took that for room and opened: the entries admitted all reads, which failed after work at three services. When the target accepted calls again, those that had been admitted made all of their calls and filled the queues, the shares fell to their minimum, and swung for seconds.

The shares keep their values while the target refuses calls and for half a second after.

Same cause elsewhere: services above the refusing one may show room in the same way; not changed.

--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -14,6 +14,9 @@
 	// usableShare is the share of the capacity that is given out. The rest covers the
 	// fluctuation of arrivals and service times.
 	usableShare = 0.97
+	// holdTime is how long the shares are held after the target has refused calls: until requests
+	// that were admitted then make all of their calls, and show in the moving averages.
+	holdTime = 500 * time.Millisecond
 	// maxDelayCut bounds the factor by which a queue delay above the threshold of a rank
 	// reduces its share.
 	maxDelayCut = 0.5
@@ -36,6 +39,16 @@
 	past     [rankCount][shareLag]float64
 	// downstream are the shares of the services downstream that were reported last.
 	downstream RankShares
+	// heldUntil is the time until which the arrivals don't tell what the target can serve.
+	heldUntil time.Time
+}
+
+// Hold keeps the shares as they are, until holdTime after the last call of Hold. A target that
+// refuses calls whatever its load gets fewer of them, because a request makes no further call after
+// one that failed. That isn't room for more requests: once the target accepts calls, those that are
+// admitted make all of them.
+func (s *CapacityShares) Hold(now time.Time) {
+	s.heldUntil = now.Add(holdTime)
 }
 
 // RecordArrival records that a request of a rank has arrived at a gate, and what the
@@ -76,6 +89,10 @@
 		return
 	}
 	s.windowStart = now
+	if now.Before(s.heldUntil) {
+		clear(s.arrivals[:])
+		return
+	}
 	capacity := g.CapacityPerSecond()
 	if p.PerSecond > 0 && (capacity == 0 || p.PerSecond < capacity) {
 		capacity = p.PerSecond
--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -207,6 +207,9 @@
 	if l.processor != nil {
 		processor = l.processor.limit.Load(l.now)
 	}
+	if l.refusals.Refusing(l.now) {
+		l.leafShares.Hold(l.now)
+	}
 	l.leafShares.RecordArrival(l.now, r.kind.rank, l.leaf, processor)
 	l.apply(l.leaf.Offer(l.now, Ticket{
 		ID: l.lastID, Rank: r.kind.rank, Arrived: l.now, Objective: 300 * time.Millisecond,
@@ -421,6 +424,49 @@
 	}
 }
 
+// TestOverloadAfterRefusals guards against a deepest service that is flooded when its targets cease
+// to refuse calls whatever their load. While they refuse them, most requests fail at their first
+// calls, so that few calls arrive: all requests of the least important rank were admitted then, to
+// fail there, and were in the way of the others afterwards.
+func TestOverloadAfterRefusals(t *testing.T) {
+	const (
+		slots, surge, refused = 165, 1.8, 0.55
+		// minShare is the least share of the room that reads use from one second after the end
+		// on, and maxWasted the largest share of the reads that fail after the end, as in
+		// TestSurgeAtDeepestService.
+		minShare, maxWasted = 0.75, 0.1
+	)
+	kinds := []chainKind{
+		{name: "booking", rank: 0, perSecond: 125, calls: 8, once: true, objective: 1500 * time.Millisecond},
+		{name: "query", rank: 1, perSecond: 150, objective: 400 * time.Millisecond},
+		{name: "read", rank: 2, perSecond: 300, calls: 8, objective: 1500 * time.Millisecond},
+	}
+	for _, entries := range []int{4, 59} {
+		is := is.NewRelaxed(t)
+		l := newChainLoad(entries, slots, kinds)
+		l.repeatLimit = wharfbudget.RepeatLimit{Ratio: 0.16, Window: 10 * time.Second}
+		share := func(counts map[string]int, kind string) float64 {
+			return float64(counts[kind]) / float64(l.offered[kind])
+		}
+		l.run(2*time.Second, 0.6)
+		l.run(8*time.Second, surge)
+		before := share(l.admitted, "read")
+		l.refusedShare = refused
+		l.run(6*time.Second, surge)
+		during := share(l.admitted, "read")
+		l.refusedShare = 0
+		l.run(time.Second, surge)
+		wasted := share(l.wasted, "read")
+		l.run(2*time.Second, surge)
+		capacity := float64(NewFixed(slots).Limit()) / leafServiceTime.Seconds()
+		room := (capacity - surge*(125*8+150)) / (surge * 300 * 8)
+		t.Logf("%d entries: reads admitted %.3f, with refusals %.3f; afterwards served %.3f of %.3f, wasted %.3f, bookings %.3f", entries,
+			before, during, share(l.served, "read"), room, wasted, share(l.served, "booking"))
+		is.True(share(l.served, "read") > minShare*room)
+		is.True(wasted < maxWasted)
+	}
+}
+
 // TestShortStallIsNoProcessorLimit guards against a target that rejects most reads although
 // its slots and its processor are free: the processor was busy with something else for a
 // moment, such as a new configuration, while few calls arrived. That rate of calls must not
--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -67,6 +67,9 @@
 	t.mu.Lock()
 	t.configure(c.config)
 	t.waiters[c.id] = decided
+	if t.refusals.Refusing(now) {
+		t.shares.Hold(now)
+	}
 	t.shares.RecordArrival(now, ticket.Rank, t.gate, p)
 	t.congestion.record(now, ticket.Rank, t.gate.Load().Running, t.shares.Admitted(ticket.Rank))
 	t.apply(t.gate.Offer(now, ticket))
