Answer each request at the end of a planned stop

What callers saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut without a response at its end, among them some that must not run twice.

Cause: two gaps. A stopping node takes the calls that its target makes for a request in flight however little time is left, because they have no other node. And at the end of the stop it closed the connections of its callers, so that what was left had no response at all, also what still waited at the node of the target.

A late call is refused now if less than four times the usual latency of its service is left. What is left at the end is ended by its context and answered before the connections are closed: 503 if the node of the target says that it never runs, 502 otherwise.

A deadline before the end of the stop for late calls was tried and dropped: the node then breaks off targets that are at work 0.3 s sooner, which TestStopsInMemory shows.

--- a/wharf/wharfrouting/balancer.go
+++ b/wharf/wharfrouting/balancer.go
@@ -226,6 +226,12 @@
 	return true
 }
 
+// UsualLatency returns the moving average of the latency of all targets, zero before the first
+// response.
+func (b *Balancer) UsualLatency() time.Duration {
+	return time.Duration(b.latency * float64(time.Second))
+}
+
 // Observe records the result of an attempt at a target: the latency, used for
 // Responded only, and the load report of the response, nil if there was none.
 // It does nothing if the target is no longer in the list.
--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -75,9 +75,12 @@
 	return attemptResult{outcome: wharfoutcome.Refuse(reason), routing: routing}
 }
 
-// endReason returns the reason why the context of a request ended: the deadline
+// endReason returns the reason why the context of a request ended: the node stops, the deadline
 // passed, or the caller cancelled the request before it.
 func (p *Proxy) endReason(c *call) wharfoutcome.Reason {
+	if c.stopped() {
+		return wharfoutcome.ReasonLeaving
+	}
 	if time.Now().Before(c.deadline) {
 		return wharfoutcome.ReasonCancelled
 	}
@@ -192,7 +195,7 @@
 	if x.ended() || errors.Is(err, context.DeadlineExceeded) {
 		result.responseLost = false
 		result.routing = wharfrouting.Cancelled
-		result.outcome = wharfoutcome.Uncertain(x.proxy.endReason(c))
+		result.outcome = x.endOutcome()
 		return result
 	}
 	result.outcome = wharfoutcome.Uncertain(wharfoutcome.ReasonResponseLost)
@@ -205,11 +208,27 @@
 		return abortedResult(aborted.Reason)
 	}
 	if !c.policy.Idempotent && c.key == "" {
-		result.outcome = x.resolve(result.outcome)
+		result.outcome = x.resolve(x.ctx, resolveTimeout, result.outcome)
 	}
 	return result
 }
 
+// endOutcome returns the outcome of an attempt whose request was ended. At the end of a planned stop
+// the node of the target is asked about a request that must not run twice: if it still waits there, it
+// never runs, and its caller may send it to another node.
+func (x *transfer) endOutcome() wharfoutcome.Outcome {
+	c := x.call
+	o := wharfoutcome.Uncertain(x.proxy.endReason(c))
+	if !c.stopped() || c.policy.Idempotent || c.key != "" {
+		return o
+	}
+	o = x.resolve(context.WithoutCancel(x.ctx), resolveAtStopTimeout, o)
+	if o.Kind == wharfoutcome.NotRun {
+		return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving).WithRetryAfter(stopRetryAfter)
+	}
+	return o
+}
+
 // ended reports whether the caller has cancelled the request or its deadline has
 // passed.
 func (x *transfer) ended() bool {
@@ -234,14 +253,19 @@
 	}
 }
 
-// resolveTimeout bounds the query about a lost response.
-const resolveTimeout = 500 * time.Millisecond
+const (
+	// resolveTimeout bounds the query about a lost response.
+	resolveTimeout = 500 * time.Millisecond
+	// resolveAtStopTimeout bounds it for a request that the stop of the node ends. It covers a
+	// round trip between failure domains, and leaves time for the response.
+	resolveAtStopTimeout = 50 * time.Millisecond
+)
 
 // resolve asks the target's node about the generated key of the attempt. If the
 // node has not dispatched the request, it closes the key and never will, so the
 // outcome is that the request did not run.
-func (x *transfer) resolve(o wharfoutcome.Outcome) wharfoutcome.Outcome {
-	ctx, cancel := context.WithTimeout(x.ctx, resolveTimeout)
+func (x *transfer) resolve(ctx context.Context, timeout time.Duration, o wharfoutcome.Outcome) wharfoutcome.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	member, ok := x.proxy.View.Member(x.target.Node)
 	if !ok {
--- a/wharfnode/internal/wharfproxy/services.go
+++ b/wharfnode/internal/wharfproxy/services.go
@@ -83,6 +83,13 @@
 	s.balancer.Observe(time.Now(), address, route, result, latency, report)
 }
 
+// usualLatency returns the moving average of the latency of the service, zero if there is none.
+func (s *serviceState) usualLatency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.UsualLatency()
+}
+
 // noAlternative reports whether a refusal for overload is final for a request. This
 // is so if no target that the request may still try could accept it. A target could
 // accept it if it is known to admit the request and to have queue capacity left, or
--- a/wharfnode/internal/wharfproxy/stop.go
+++ b/wharfnode/internal/wharfproxy/stop.go
@@ -1,6 +1,8 @@
 package wharfproxy
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
@@ -25,17 +27,36 @@
 	p.stop.Store(&s)
 }
 
-// checkStop refuses a late request whose deadline isn't before the end of a planned stop. The
-// target may still be at work on it when the stop aborts it. It doesn't refuse the calls that
-// the targets of this node make for requests in flight.
+// ErrStopped is the cancellation cause of the requests that are left at the end of a planned stop.
+var ErrStopped = errors.New("the node stops")
+
+// stopRetryAfter is the retry-after hint at the end of a stop. Other nodes are ready.
+const stopRetryAfter = 100 * time.Millisecond
+
+// lateLatencies is how many times the usual latency of its service a late call of a target must
+// have left until the end of a stop.
+const lateLatencies = 4
+
+// checkStop refuses a late request that may outlast a planned stop: one of a client by its deadline,
+// because another node can serve it. The calls that a target of this node makes for a request in
+// flight have no other node, so that they are refused only if too little time is left for them.
 func (p *Proxy) checkStop(c *call) (wharfoutcome.Outcome, bool) {
 	s := p.stop.Load()
-	if s == nil || time.Now().Before(s.Late) || c.isDownstream() || c.deadline.Add(answerMargin).Before(s.End) {
+	now := time.Now()
+	if s == nil || now.Before(s.Late) || c.deadline.Add(answerMargin).Before(s.End) {
+		return wharfoutcome.Outcome{}, true
+	}
+	if c.isDownstream() && now.Add(lateLatencies*p.usualLatency(c.service)+answerMargin).Before(s.End) {
 		return wharfoutcome.Outcome{}, true
 	}
 	// The caller is told to use another connection, and to come back once the node has ended.
 	c.w.Header().Set("Connection", "close")
-	return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving).WithRetryAfter(time.Until(s.End)), false
+	return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving).WithRetryAfter(s.End.Sub(now)), false
+}
+
+// usualLatency returns how long requests of a service take, zero if that isn't known.
+func (p *Proxy) usualLatency(service string) time.Duration {
+	return p.services.get(p.View, service).usualLatency()
 }
 
 // isDownstream reports whether a target of this node makes the call for a request that it
@@ -44,8 +65,13 @@
 	return !c.parent.Deadline.IsZero()
 }
 
-// SetCutting records that the node closes the connections of its callers, so that requests
-// which end from now on have been aborted by the stop.
+// stopped reports whether the end of a planned stop has ended the request.
+func (c *call) stopped() bool {
+	return errors.Is(context.Cause(c.ctx), ErrStopped)
+}
+
+// SetCutting records that the stop ends the requests that are left, so that those which end from
+// now on have been aborted by it.
 func (p *Proxy) SetCutting() {
 	p.cutting.Store(true)
 }
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -79,7 +79,9 @@
 	// requests of other nodes.
 	transport *wharftransport.Client
 	peer      *http.Server
-	fromNodes *acceptedConnections
+	// endCallers ends the requests of callers with a cause.
+	endCallers context.CancelCauseFunc
+	fromNodes  *acceptedConnections
 	// memory counts what the node holds for others, and monitor logs when it is short.
 	memory  *wharfbudget.Memory
 	passes  *wharfcallers.Passes
@@ -172,6 +174,9 @@
 	n.monitor = &wharfmemory.Monitor{Log: log, Read: wharfmemory.Read, Holders: n.memoryHolders}
 	n.caller = newHTTPServer(n.proxy, processor)
 	n.passes = wharfcallers.NewPasses(n.memory, options.Memory)
+	var callers context.Context
+	callers, n.endCallers = context.WithCancelCause(context.Background())
+	n.caller.BaseContext = func(net.Listener) context.Context { return callers }
 	n.caller.ConnContext, n.caller.ConnState = wharfcallers.ConnContext, n.passes.ConnState
 	n.LimitMemory(options.Memory)
 	n.admin = newHTTPServer(api.Handler(), processor)
--- a/wharfnode/wharfserver/stop.go
+++ b/wharfnode/wharfserver/stop.go
@@ -100,13 +100,12 @@
 	n.awaitCutRequests()
 }
 
-// shutdown closes the listeners and waits for the callers' requests until ctx
-// is done, and closes the connections that are still open then.
+// shutdown closes the listeners and waits for the callers' requests until ctx is done. It ends
+// those that are left then, so that their callers get the outcome, and closes the connections.
 func (n *Node) shutdown(ctx context.Context) {
 	if n.caller.Shutdown(ctx) != nil {
 		n.logAbortedRequests()
-		n.proxy.SetCutting()
-		_ = n.caller.Close()
+		n.cutCallers()
 	}
 	if n.admin.Shutdown(ctx) != nil {
 		_ = n.admin.Close()
@@ -117,6 +116,18 @@
 	n.awaitCutRequests()
 }
 
+// cutCallers ends the requests of callers, waits for their responses within cutTimeout, and closes
+// the connections that are left.
+func (n *Node) cutCallers() {
+	n.proxy.SetCutting()
+	n.endCallers(wharfproxy.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	if n.caller.Shutdown(ctx) != nil {
+		_ = n.caller.Close()
+	}
+}
+
 // awaitCutRequests waits until the handlers of the aborted requests have ended, each of which
 // logs its request, but at most cutTimeout.
 func (n *Node) awaitCutRequests() {
