Don't take a burst of requests for a shortage of the processor

What callers saw: reads refused by nodes with most of their slots and of their processor free, for seconds.

Cause: a node counted as short of processor time if requests waited for more than 3 ms on average, more than one at a time. Requests that arrive at once wait for each other, so that a burst did that on a node a third of whose processor was in use, and the rate of that moment became its limit. It grows back by 1% to 5% in 0.1 s.

A node is short only if no request in the window has found the processor free.

Evidence: TestBurstIsNoProcessorLimit failed before at a third and at two thirds of the processor. Some nodes still keep a low limit for seconds (107 to 370 calls a second where 500 to 700 are carried), now by estimates of full windows.

--- a/wharf/wharfadmission/processordelay.go
+++ b/wharf/wharfadmission/processordelay.go
@@ -11,6 +11,8 @@
 	// node is short of processor time. At a low rate a few long waits, such as those for
 	// the garbage collector, don't show that.
 	minProcessorQueue = 1.0
+	// freeProcessorDelay is the wait up to which a request has found the processor free.
+	freeProcessorDelay = 100 * time.Microsecond
 	// processorDelayWindow is the time over which the wait is averaged.
 	processorDelayWindow = delayWindow
 	// maxProcessorPause is the time between two waits after which the first of them says
@@ -29,6 +31,10 @@
 	// requests that waited at the same time.
 	mean  time.Duration
 	queue float64
+	// free counts the requests in this window that have found the processor free, and wasFree
+	// is true if there were any in the last one.
+	free    int
+	wasFree bool
 }
 
 // Observe records how long a request has waited for the processor. It reports whether a
@@ -41,12 +47,16 @@
 	d.last = now
 	d.sum += wait
 	d.count++
+	if wait <= freeProcessorDelay {
+		d.free++
+	}
 	if now.Sub(d.windowStart) < processorDelayWindow {
 		return false
 	}
 	d.mean = d.sum / time.Duration(d.count)
 	d.queue = d.sum.Seconds() / now.Sub(d.windowStart).Seconds()
-	d.windowStart, d.sum, d.count = now, 0, 0
+	d.wasFree = d.free > 0
+	d.windowStart, d.sum, d.count, d.free = now, 0, 0, 0
 	return true
 }
 
@@ -59,7 +69,8 @@
 	return d.mean
 }
 
-// Short reports whether the node is short of processor time.
+// Short reports whether the node is short of processor time: requests wait, and none has found the
+// processor free. Requests that arrive in a burst wait, too, but the processor then has time to spare.
 func (d *ProcessorDelay) Short(now time.Time) bool {
-	return d.Mean(now) > processorDelayThreshold && d.queue > minProcessorQueue
+	return d.Mean(now) > processorDelayThreshold && d.queue > minProcessorQueue && !d.wasFree
 }
--- a/wharf/wharfadmission/processordelay_test.go
+++ b/wharf/wharfadmission/processordelay_test.go
@@ -33,6 +33,46 @@
 	is.True(!d.Short(now))
 }
 
+// TestBurstIsNoProcessorLimit guards against a node that rejects requests although its processor
+// has time to spare, because requests that arrive at once wait for each other.
+func TestBurstIsNoProcessorLimit(t *testing.T) {
+	const (
+		interval = 50 * time.Millisecond
+		turn     = time.Millisecond
+	)
+	tests := []struct {
+		name  string
+		burst int
+		short bool
+	}{
+		{"a third of the time in use", 17, false},
+		{"two thirds", 33, false},
+		{"all of the time", 60, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var p ProcessorLimit
+			arrival, free := time.Unix(1000, 0), time.Unix(1000, 0)
+			var now time.Time
+			for range 100 {
+				arrival = arrival.Add(interval)
+				for range tc.burst {
+					now = arrival
+					if free.After(now) {
+						now = free
+					}
+					p.RecordCall()
+					p.Observe(now, now.Sub(arrival))
+					free = now.Add(turn)
+				}
+			}
+			is.Equal(p.Delay().Short(now), tc.short)
+			is.Equal(p.Load(now).PerSecond > 0, tc.short)
+		})
+	}
+}
+
 // TestLimitOfSlowProcessorIsForgotten guards against a limit from a time when a node was
 // slow, or paused, that still rejects requests once the node has recovered.
 func TestLimitOfSlowProcessorIsForgotten(t *testing.T) {
