Let held shares grow slowly

A target that refuses calls for as long as it lives would have kept a rank rejected for good, if little was admitted of it when that began.

--- a/wharf/wharfadmission/capacityshares.go
+++ b/wharf/wharfadmission/capacityshares.go
@@ -17,6 +17,9 @@
 	// holdTime is how long the shares are held after the target has refused calls: until requests
 	// that were admitted then make all of their calls, and show in the moving averages.
 	holdTime = 500 * time.Millisecond
+	// heldIncrease is the growth of a held share in a window, so that a rank isn't rejected for
+	// good by a target that never ceases to refuse calls.
+	heldIncrease = 0.001
 	// maxDelayCut bounds the factor by which a queue delay above the threshold of a rank
 	// reduces its share.
 	maxDelayCut = 0.5
@@ -43,7 +46,7 @@
 	heldUntil time.Time
 }
 
-// Hold keeps the shares as they are, until holdTime after the last call of Hold. A target that
+// Hold keeps the shares nearly as they are, until holdTime after the last call of Hold. A target that
 // refuses calls whatever its load gets fewer of them, because a request makes no further call after
 // one that failed. That isn't room for more requests: once the target accepts calls, those that are
 // admitted make all of them.
@@ -91,6 +94,7 @@
 	s.windowStart = now
 	if now.Before(s.heldUntil) {
 		clear(s.arrivals[:])
+		s.growHeld(windows)
 		return
 	}
 	capacity := g.CapacityPerSecond()
@@ -119,6 +123,13 @@
 	}
 }
 
+// growHeld lets held shares grow for a number of windows.
+func (s *CapacityShares) growHeld(windows int) {
+	for rank := range s.rejected {
+		s.rejected[rank] = max(s.rejected[rank]-heldIncrease*float64(windows), 0)
+	}
+}
+
 // share returns the share of a rank that fits into the room that the more important
 // ranks leave, while its requests wait for some time.
 func (s *CapacityShares) share(rank int, room float64, wait time.Duration) float64 {
--- a/wharf/wharfadmission/chain_test.go
+++ b/wharf/wharfadmission/chain_test.go
@@ -509,6 +509,31 @@
 	}
 }
 
+// TestHeldShareGrows guards against a rank that is rejected for as long as a target refuses calls,
+// because little was admitted of it when that began.
+func TestHeldShareGrows(t *testing.T) {
+	const (
+		before = 0.05
+		// wayBack is the time within which half of the requests are admitted again.
+		wayBack = time.Minute
+	)
+	is := is.New(t)
+	now, gate := time.Unix(1000, 0), NewGate(Config{Limiter: NewFixed(10)})
+	var s CapacityShares
+	s.RecordArrival(now, 2, gate, ProcessorLoad{})
+	s.rejected[2] = 1 - before
+	for end := now.Add(time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		s.Hold(now)
+		s.RecordArrival(now, 2, gate, ProcessorLoad{})
+	}
+	is.True(s.Admitted(2) < 2*before) // no more than a little in a second
+	for end := now.Add(wayBack); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		s.Hold(now)
+		s.RecordArrival(now, 2, gate, ProcessorLoad{})
+	}
+	is.True(s.Admitted(2) > 0.5)
+}
+
 // TestShortStallIsNoProcessorLimit guards against a target that rejects most reads although
 // its slots and its processor are free: the processor was busy with something else for a
 // moment, such as a new configuration, while few calls arrived. That rate of calls must not
