Decide once whether the body of a call is empty

The HTTP transport still sends the body when the target responds before it has read it, so both run at once.

Ruled out by reading: the other fields that both use (aborted, begun) are atomic, and the headers of the first send are copied before it can block.

A body is empty if its first frame ends it without content; that is set before anything else can read it.

--- a/wharfnode/internal/wharftarget/body.go
+++ b/wharfnode/internal/wharftarget/body.go
@@ -17,6 +17,9 @@
 	sum      wharfwire.BodySum
 	complete bool
 	err      error
+	// empty is true if the first frame has ended the body without content. It doesn't change,
+	// because the transport may read the body even after the target has responded.
+	empty bool
 	// aborted is true if the sender did not send the complete body, so that the
 	// failure of the request is not recorded as a crash of the target.
 	aborted atomic.Bool
@@ -29,6 +32,7 @@
 func newCallBody(stream wharftransport.ServerStream, first *wharfwire.CallFrame) *callBody {
 	b := &callBody{stream: stream}
 	b.err = b.addFrame(first)
+	b.empty = b.complete && len(b.unread) == 0
 	return b
 }
 
@@ -48,11 +52,6 @@
 	return nil
 }
 
-// empty reports whether the body is complete and has no content.
-func (b *callBody) empty() bool {
-	return b.complete && len(b.unread) == 0 && b.sum == (wharfwire.BodySum{})
-}
-
 // abort marks the body as aborted and returns the error for Read.
 func (b *callBody) abort() error {
 	b.aborted.Store(true)
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -164,7 +164,7 @@
 		Method: c.head.GetMethod(), URL: urlOf(c.target.address, c.head.GetUri()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: c.headers,
 	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: conn.use}))
-	if !c.body.empty() {
+	if !c.body.empty {
 		r.Body, r.ContentLength = c.body, -1
 		if c.head.GetContentLength() > 0 {
 			r.ContentLength = c.head.GetContentLength()
--- a/wharfnode/internal/wharftarget/repeat.go
+++ b/wharfnode/internal/wharftarget/repeat.go
@@ -85,7 +85,7 @@
 // only calls of routes without downstream calls are repeated. All that is checked before the
 // first send is checked again.
 func (s *Server) mayRepeat(ctx context.Context, c *call) bool {
-	if ctx.Err() != nil || !c.body.empty() || !s.Backpressure.MakesNoCalls(c.head.GetRoute()) {
+	if ctx.Err() != nil || !c.body.empty || !s.Backpressure.MakesNoCalls(c.head.GetRoute()) {
 		return false
 	}
 	if _, pass := s.checkLeaving(c); !pass || c.target.instance() != c.dispatchInfo.Instance {
