Ask the context alone whether a stop has ended a request

Proxy.cutting said what the cancellation cause of the request's context says since then; checkStop read the clock for each request also when there is no stop; the condition for requests that must not run twice stood in two places; ProcessorDelay counted free requests where only "any" is used.

No behaviour changes, except that a request whose caller leaves during the cut isn't logged as cut. Before and after: the tests of stops in platform and wharfserver, and those of wharfadmission, pass.

--- a/wharf/wharfadmission/processordelay.go
+++ b/wharf/wharfadmission/processordelay.go
@@ -31,10 +31,9 @@
 	// requests that waited at the same time.
 	mean  time.Duration
 	queue float64
-	// free counts the requests in this window that have found the processor free, and wasFree
-	// is true if there were any in the last one.
-	free    int
-	wasFree bool
+	// free is true if a request in this window has found the processor free, and wasFree if one
+	// in the last window has.
+	free, wasFree bool
 }
 
 // Observe records how long a request has waited for the processor. It reports whether a
@@ -47,16 +46,14 @@
 	d.last = now
 	d.sum += wait
 	d.count++
-	if wait <= freeProcessorDelay {
-		d.free++
-	}
+	d.free = d.free || wait <= freeProcessorDelay
 	if now.Sub(d.windowStart) < processorDelayWindow {
 		return false
 	}
 	d.mean = d.sum / time.Duration(d.count)
 	d.queue = d.sum.Seconds() / now.Sub(d.windowStart).Seconds()
-	d.wasFree = d.free > 0
-	d.windowStart, d.sum, d.count, d.free = now, 0, 0, 0
+	d.windowStart, d.sum, d.count = now, 0, 0
+	d.free, d.wasFree = false, d.free
 	return true
 }
 
--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -207,19 +207,24 @@
 	if errors.As(err, &aborted) {
 		return abortedResult(aborted.Reason)
 	}
-	if !c.policy.Idempotent && c.key == "" {
+	if c.mustNotRunTwice() {
 		result.outcome = x.resolve(x.ctx, resolveTimeout, result.outcome)
 	}
 	return result
 }
 
+// mustNotRunTwice reports whether the request isn't idempotent and has no key of its caller.
+func (c *call) mustNotRunTwice() bool {
+	return !c.policy.Idempotent && c.key == ""
+}
+
 // endOutcome returns the outcome of an attempt whose request was ended. At the end of a planned stop
 // the node of the target is asked about a request that must not run twice: if it still waits there, it
 // never runs, and its caller may send it to another node.
 func (x *transfer) endOutcome() wharfoutcome.Outcome {
 	c := x.call
 	o := wharfoutcome.Uncertain(x.proxy.endReason(c))
-	if !c.stopped() || c.policy.Idempotent || c.key != "" {
+	if !c.stopped() || !c.mustNotRunTwice() {
 		return o
 	}
 	o = x.resolve(context.WithoutCancel(x.ctx), resolveAtStopTimeout, o)
--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -86,10 +86,8 @@
 	// crash.
 	safeRequests wharfquarantine.KnownSafeSet
 	calls        atomic.Int64
-	// stop is the planned stop, nil before it. cutting is true once it aborts the requests
-	// that are left.
-	stop    atomic.Pointer[Stop]
-	cutting atomic.Bool
+	// stop is the planned stop, nil before it.
+	stop atomic.Pointer[Stop]
 }
 
 // call is the state of one request while it passes the filters.
--- a/wharfnode/internal/wharfproxy/stop.go
+++ b/wharfnode/internal/wharfproxy/stop.go
@@ -42,8 +42,11 @@
 // flight have no other node, so that they are refused only if too little time is left for them.
 func (p *Proxy) checkStop(c *call) (wharfoutcome.Outcome, bool) {
 	s := p.stop.Load()
+	if s == nil {
+		return wharfoutcome.Outcome{}, true
+	}
 	now := time.Now()
-	if s == nil || now.Before(s.Late) || c.deadline.Add(answerMargin).Before(s.End) {
+	if now.Before(s.Late) || c.deadline.Add(answerMargin).Before(s.End) {
 		return wharfoutcome.Outcome{}, true
 	}
 	if c.isDownstream() && now.Add(lateLatencies*p.usualLatency(c.service)+answerMargin).Before(s.End) {
@@ -70,12 +73,6 @@
 	return errors.Is(context.Cause(c.ctx), ErrStopped)
 }
 
-// SetCutting records that the stop ends the requests that are left, so that those which end from
-// now on have been aborted by it.
-func (p *Proxy) SetCutting() {
-	p.cutting.Store(true)
-}
-
 // stopFields returns the field with the time since the planned stop began, or none if
 // there is no stop.
 func (p *Proxy) stopFields() []wharfevents.Field {
@@ -89,7 +86,7 @@
 // end logs a request that the stop has aborted, and counts it as ended.
 func (p *Proxy) end(c *call) {
 	defer p.calls.Add(-1)
-	if !p.cutting.Load() || c.ctx.Err() == nil {
+	if !c.stopped() {
 		return
 	}
 	fields := append(p.requestFields(c), wharfevents.Field{Name: "tries", Value: c.tries})
--- a/wharfnode/wharfserver/stop.go
+++ b/wharfnode/wharfserver/stop.go
@@ -119,7 +119,6 @@
 // cutCallers ends the requests of callers, waits for their responses within cutTimeout, and closes
 // the connections that are left.
 func (n *Node) cutCallers() {
-	n.proxy.SetCutting()
 	n.endCallers(wharfproxy.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
 	defer cancel()
