Reject at the entry what the target's node rejects

Cause: the entry sent each request to a node of the called service, which rejected it. That takes two nodes a large part of what a served call takes, and clients send to all nodes, so to the few beside the deepest services, too, whose processors bind.

Ruled out: requests that are refused elsewhere: nearly all refusals are of this reason, after one try.

Now the entry learns the shares of a route from the responses to what it sends on, and rejects what they don't admit, for half a second after the last rejection by a target's node. Then it sends one on again. Requests with a key of their caller are always sent on, since a response may be ready.

Conclusion: a refusal has to be cheap where processors bind.

--- /dev/null
+++ b/wharf/wharfadmission/entryshares.go
@@ -0,0 +1,48 @@
+package wharfadmission
+
+import "time"
+
+const (
+	// entryRejectionTTL is how long a rejection by a target's node lets an entry reject requests
+	// itself. Then it sends one on again, to learn whether they are still rejected.
+	entryRejectionTTL = 500 * time.Millisecond
+	// entryMargin lets an entry send on a little more than the share that is admitted, as it
+	// differs between the targets and changes until the request arrives.
+	entryMargin = 1.1
+)
+
+// EntryShares tells the entry of client requests which requests of a route the nodes of the
+// targets reject for congestion downstream, so that it can reject them itself: to send them
+// there first takes processor time of two nodes. It knows the shares from the responses to the
+// requests that it sends on. An EntryShares isn't safe for concurrent use. The zero EntryShares admits everything.
+type EntryShares struct {
+	shares DownstreamShares
+	ranks  [sharesRanks]entryRejection
+}
+
+// entryRejection is the last rejection of a request of a rank.
+type entryRejection struct {
+	at         time.Time
+	retryAfter time.Duration
+}
+
+// Observe records the shares that the response to a request of a rank reported.
+func (e *EntryShares) Observe(now time.Time, rank int, reported RankShares) {
+	e.shares.Observe(now, "", rank, reported)
+}
+
+// Rejected records that a target's node has rejected a request of a rank, and its retry-after
+// hint.
+func (e *EntryShares) Rejected(now time.Time, rank int, retryAfter time.Duration) {
+	e.ranks[min(clampRank(rank), sharesRanks-1)] = entryRejection{at: now, retryAfter: retryAfter}
+}
+
+// Admit reports whether a request of a priority is to be sent on, and if not, the retry-after hint
+// of the last rejection.
+func (e *EntryShares) Admit(now time.Time, p Priority) (retryAfter time.Duration, admitted bool) {
+	last := e.ranks[min(p.Rank(), sharesRanks-1)]
+	if last.at.IsZero() || now.Sub(last.at) > entryRejectionTTL {
+		return 0, true
+	}
+	return last.retryAfter, p.admittedBy(entryMargin * e.shares.Admitted(now, p.Rank()))
+}
--- /dev/null
+++ b/wharf/wharfadmission/entryshares_test.go
@@ -0,0 +1,81 @@
+package wharfadmission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// entryLoad simulates an entry that gets requests of one rank at a rate and sends them to targets,
+// each of which admits about the same share of them.
+type entryLoad struct {
+	entry EntryShares
+	rng   *rand.Rand
+	now   time.Time
+	// responses holds what is to be learned from the requests that were sent on, by the time at which
+	// their responses arrive.
+	responses map[time.Time][]func()
+	// offered, sent, rejected and admitted count the requests: all, those that the entry has sent
+	// on, and of these the ones that the targets have rejected or admitted.
+	offered, sent, rejected, admitted int
+}
+
+// run offers 150 requests a second for some time, of which the targets admit a share. The response
+// to an admitted request takes 300 ms, a rejection 2 ms.
+func (l *entryLoad) run(span time.Duration, share float64) {
+	l.offered, l.sent, l.rejected, l.admitted = 0, 0, 0, 0
+	for end := l.now.Add(span); l.now.Before(end); l.now = l.now.Add(time.Millisecond) {
+		for _, learn := range l.responses[l.now] {
+			learn()
+		}
+		delete(l.responses, l.now)
+		if l.rng.Float64() < 0.15 {
+			l.arrive(share * (0.7 + 0.6*l.rng.Float64()))
+		}
+	}
+}
+
+// arrive offers a request to the entry, which sends it to a target that admits a share.
+func (l *entryLoad) arrive(share float64) {
+	l.offered++
+	p := PriorityOf(2, l.rng.Uint64())
+	if _, ok := l.entry.Admit(l.now, p); !ok {
+		return
+	}
+	l.sent++
+	reported := RankShares(0).With(2, min(share, 1))
+	if p.admittedBy(share) {
+		l.admitted++
+		at := l.now.Add(300 * time.Millisecond)
+		l.responses[at] = append(l.responses[at], func() { l.entry.Observe(l.now, 2, reported) })
+		return
+	}
+	l.rejected++
+	at := l.now.Add(2 * time.Millisecond)
+	l.responses[at] = append(l.responses[at], func() {
+		l.entry.Observe(l.now, 2, reported)
+		l.entry.Rejected(l.now, 2, time.Second)
+	})
+}
+
+// TestEntryRejectsWhatTargetsReject guards against requests that are sent to a target only to be
+// rejected there: the entry must reject most of them itself, admit nearly all that the targets do,
+// and send on everything soon after the targets admit it.
+func TestEntryRejectsWhatTargetsReject(t *testing.T) {
+	for _, share := range []float64{0.05, 0.3, 0.7} {
+		is := is.NewRelaxed(t)
+		l := &entryLoad{rng: rand.New(rand.NewPCG(1, 2)), now: epoch.Add(time.Second), responses: map[time.Time][]func(){}}
+		l.run(2*time.Second, 1.5)
+		is.Equal(l.sent, l.offered)
+		l.run(time.Second, share)
+		l.run(30*time.Second, share)
+		t.Logf("share %.2f: %d requests, %d sent on, %d admitted, %d rejected by targets", share, l.offered, l.sent, l.admitted, l.rejected)
+		is.True(float64(l.rejected) < 0.5*(1-share)*float64(l.offered))
+		is.True(float64(l.admitted) > 0.9*share*float64(l.offered))
+		l.run(time.Second, 1.5)
+		l.run(10*time.Second, 1.5)
+		is.Equal(l.admitted, l.offered)
+	}
+}
--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -77,9 +77,8 @@
 	Log     wharfevents.Log
 	Metrics wharfevents.Metrics
 
-	services serviceStates
-	// returns orders the requests of callers that return after a rejection.
-	returns     routeReturns
+	services    serviceStates
+	routes      routeStates
 	roundRobins roundRobins
 	retryBudget wharfbudget.RetryBudget
 	// safeRequests holds the fingerprints of requests that completed without a
@@ -159,6 +158,7 @@
 	(*Proxy).readBody,
 	(*Proxy).checkStop,
 	(*Proxy).checkQuarantine,
+	(*Proxy).checkEntry,
 }
 
 // ServeHTTP serves one request of a caller or of the service on this VM.
--- /dev/null
+++ b/wharfnode/internal/wharfproxy/routestate.go
@@ -0,0 +1,82 @@
+package wharfproxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortwharf.dev/wharf/wharfadmission"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharfnode/internal/wharfrandom"
+)
+
+// routeStates holds the state of each route of which a client request came to this node. The zero
+// routeStates is empty and ready to use. It is safe for concurrent use.
+type routeStates struct {
+	states sync.Map
+}
+
+// routeState is the state of one route, guarded by mu.
+type routeState struct {
+	mu sync.Mutex
+	// returns orders the requests of callers that return after a rejection.
+	returns wharfadmission.Returns
+	// entry holds what the nodes of the targets admit.
+	entry wharfadmission.EntryShares
+}
+
+// get returns the state of a route and creates it if necessary.
+func (r *routeStates) get(route string) *routeState {
+	if state, ok := r.states.Load(route); ok {
+		return state.(*routeState)
+	}
+	state, _ := r.states.LoadOrStore(route, &routeState{})
+	return state.(*routeState)
+}
+
+// priority returns the priority of a client request.
+func (r *routeStates) priority(c *call) wharfadmission.Priority {
+	rank, hash := c.policy.Class.Rank, xxhash.Sum64String(c.requestID)
+	if c.depth > 0 || c.hints.Timeout <= 0 || c.policy.Objective <= 0 {
+		return wharfadmission.PriorityOf(rank, hash)
+	}
+	s := r.get(c.route())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returns.Priority(time.Now(), rank, hash, c.hints.Timeout, c.policy.Objective)
+}
+
+// checkEntry rejects a client request that the target's node would reject for congestion
+// downstream. One with a key of its caller is sent on, since its response may be ready there.
+func (p *Proxy) checkEntry(c *call) (wharfoutcome.Outcome, bool) {
+	if c.linked || c.key != "" {
+		return wharfoutcome.Outcome{}, true
+	}
+	s := p.routes.get(c.route())
+	s.mu.Lock()
+	retryAfter, admitted := s.entry.Admit(time.Now(), c.priority)
+	s.mu.Unlock()
+	if admitted {
+		return wharfoutcome.Outcome{}, true
+	}
+	retryAfter = wharfadmission.AddJitter(retryAfter, wharfrandom.New().Float64())
+	return wharfoutcome.Refuse(wharfoutcome.ReasonDownstreamOverload).WithRetryAfter(retryAfter), false
+}
+
+// observeEntry records what the response to a client request reports, and whether the target's node
+// has rejected it for congestion downstream.
+func (s *attemptLoop) observeEntry() {
+	report, c := s.last.report, s.call
+	if report == nil || report.FromService || c.depth > 0 {
+		return
+	}
+	rank, now := c.policy.Class.Rank, time.Now()
+	state := s.proxy.routes.get(c.route())
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	state.entry.Observe(now, rank, report.Shares)
+	if s.last.outcome.Kind == wharfoutcome.NotRun && s.last.outcome.Reason == wharfoutcome.ReasonDownstreamOverload && !s.last.arrived {
+		state.entry.Rejected(now, rank, s.last.outcome.RetryAfter)
+	}
+}
--- a/wharfnode/internal/wharfproxy/send.go
+++ b/wharfnode/internal/wharfproxy/send.go
@@ -150,6 +150,7 @@
 func (s *attemptLoop) observe(target wharfrouting.Target, delegated int) {
 	s.service.observe(target.Address, s.call.route(), s.last.routing, s.last.latency, s.last.report)
 	s.observeDownstream()
+	s.observeEntry()
 	if s.last.sent {
 		s.call.grant.refundUnused(delegated, s.last.attemptsLeft)
 	} else {
