--- a/wharf/wharfadmission/gate.go
+++ b/wharf/wharfadmission/gate.go
@@ -74,8 +74,8 @@
 	running []running
 	level   Level
 	// latency holds the usual latency of each rank.
-	latency [rankCount]latencyEstimate
-	rate    rateLimit
+	latency     [rankCount]latencyEstimate
+	rate        rateLimit
 	serviceTime serviceTimeEstimate
 
 	// shortestWait is the shortest wait of a request that started in the current
