--- a/wharf/wharfadmission/entryshares.go
+++ b/wharf/wharfadmission/entryshares.go
@@ -9,8 +9,8 @@
 	// entryMargin lets an entry send on a little more than the share that is admitted, as it
 	// differs between the targets and changes until the request arrives.
 	entryMargin = 1.1
-	// entryWindow is the time over which an entry counts the requests of a rank, and
-	// entryWindows the number of windows in which a share follows a change of the load, twice.
+	// entryWindow is the time over which an entry counts the requests of a rank. Of the
+	// entryWindows last windows, the shares follow the load of the older half.
 	entryWindow  = 300 * time.Millisecond
 	entryWindows = 6
 	// minRankRejection is the rejected share of a rank from which on a rise of the load counts. A
@@ -24,8 +24,9 @@
 // EntryShares tells the entry of client requests which requests of a route the nodes of the
 // targets reject for congestion downstream, so that it can reject them itself: to send them
 // there first takes processor time of two nodes. It knows the shares from the responses to the
-// requests that it sends on. A share is right for the load at the time at which it was computed: when
-// the load rises, the entry admits the same number of requests until the share follows. An EntryShares isn't safe for concurrent use. The zero EntryShares admits everything.
+// requests that it sends on. A share is right for the load at the time at which it was
+// computed: when the load rises, the entry admits the same number of requests until the share
+// follows. An EntryShares isn't safe for concurrent use. The zero EntryShares admits everything.
 type EntryShares struct {
 	shares DownstreamShares
 	ranks  [sharesRanks]entryRank
