Don't reject the calls of services at the entry

Cause: found in a last reading. checkEntry asked whether a call is linked by its request id. A call that is linked by its context has a parent, too, and could be rejected when clients use the same route. A rejection there wastes the work that was done for its request. observeEntry asked for the depth instead.

Now both ask isDownstream, as checkStop does. Conclusion: one question, one method.

--- a/wharfnode/internal/wharfproxy/routestate.go
+++ b/wharfnode/internal/wharfproxy/routestate.go
@@ -50,7 +50,7 @@
 // checkEntry rejects a client request that the target's node would reject for congestion
 // downstream. One with a key of its caller is sent on, since its response may be ready there.
 func (p *Proxy) checkEntry(c *call) (wharfoutcome.Outcome, bool) {
-	if c.linked || c.key != "" {
+	if c.isDownstream() || c.key != "" {
 		return wharfoutcome.Outcome{}, true
 	}
 	s := p.routes.get(c.route())
@@ -68,7 +68,7 @@
 // has rejected it for congestion downstream.
 func (s *attemptLoop) observeEntry() {
 	report, c := s.last.report, s.call
-	if report == nil || report.FromService || c.depth > 0 {
+	if report == nil || report.FromService || c.isDownstream() {
 		return
 	}
 	rank, now := c.policy.Class.Rank, time.Now()
--- /dev/null
+++ b/wharfnode/internal/wharfproxy/routestate_test.go
@@ -0,0 +1,44 @@
+package wharfproxy
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortwharf.dev/wharf/wharfadmission"
+	"ragwortwharf.dev/wharf/wharfbudget"
+	"ragwortwharf.dev/wharf/wharfoutcome"
+)
+
+// TestCallOfServiceIsNotRejectedAtEntry guards against an entry that rejects a call which a service
+// makes for a request in flight, because client requests of the same route are rejected.
+func TestCallOfServiceIsNotRejectedAtEntry(t *testing.T) {
+	parent := wharfbudget.ServedCall{Depth: 1, Deadline: time.Now().Add(time.Minute)}
+	tests := []struct {
+		name string
+		call call
+		pass bool
+	}{
+		{"client request", call{}, false},
+		{"client request with a key", call{key: "k"}, true},
+		{"call found by its request id", call{parent: parent, depth: 1, linked: true}, true},
+		{"call found by its context", call{parent: parent, depth: 1}, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var p Proxy
+			c := &tc.call
+			c.r = httptest.NewRequest("GET", "/", nil)
+			c.priority = wharfadmission.PriorityOf(2, 127)
+			s := p.routes.get(c.route())
+			s.entry.Observe(time.Now(), 2, wharfadmission.RankShares(0).With(2, 0))
+			s.entry.Rejected(time.Now(), 2, time.Second)
+			o, pass := p.checkEntry(c)
+			is.Equal(pass, tc.pass)
+			is.Equal(o.Reason == wharfoutcome.ReasonDownstreamOverload, !tc.pass)
+		})
+	}
+}
