Compute the index of a rank's share in one place

Cause: the expression stood in six places, twice in EntryShares, in three forms: some clamped the rank first, some not. No behaviour changes: RankShares gets ranks that are not negative, so that the clamping adds nothing. The tests of wharfadmission pass as before.

--- a/wharf/wharfadmission/downstreamshares.go
+++ b/wharf/wharfadmission/downstreamshares.go
@@ -45,7 +45,7 @@
 		return
 	}
 	k := s.service(service)
-	k.used[min(clampRank(rank), sharesRanks-1)] = now
+	k.used[sharesIndex(rank)] = now
 	earlier := 0.0
 	if !k.at.IsZero() {
 		earlier = math.Exp2(-now.Sub(k.at).Seconds() / shareHalfLife.Seconds())
@@ -75,7 +75,7 @@
 // Admitted returns the share of the client requests of a rank to admit: the smallest share of
 // the services that are called for such requests.
 func (s *DownstreamShares) Admitted(now time.Time, rank int) float64 {
-	rank = min(clampRank(rank), sharesRanks-1)
+	rank = sharesIndex(rank)
 	admitted := 1.0
 	for i := range s.services {
 		k := &s.services[i]
--- a/wharf/wharfadmission/entryshares.go
+++ b/wharf/wharfadmission/entryshares.go
@@ -35,13 +35,13 @@
 // Rejected records that a target's node has rejected a request of a rank, and its retry-after
 // hint.
 func (e *EntryShares) Rejected(now time.Time, rank int, retryAfter time.Duration) {
-	e.ranks[min(clampRank(rank), sharesRanks-1)] = entryRejection{at: now, retryAfter: retryAfter}
+	e.ranks[sharesIndex(rank)] = entryRejection{at: now, retryAfter: retryAfter}
 }
 
 // Admit reports whether a request of a priority is to be sent on, and if not, the retry-after hint
 // of the last rejection.
 func (e *EntryShares) Admit(now time.Time, p Priority) (retryAfter time.Duration, admitted bool) {
-	last := e.ranks[min(p.Rank(), sharesRanks-1)]
+	last := e.ranks[sharesIndex(p.Rank())]
 	if last.at.IsZero() || now.Sub(last.at) > entryRejectionTTL {
 		return 0, true
 	}
--- a/wharf/wharfadmission/rankshares.go
+++ b/wharf/wharfadmission/rankshares.go
@@ -14,16 +14,21 @@
 // their own. The zero RankShares knows nothing.
 type RankShares uint64
 
+// sharesIndex returns the index of the share of a rank.
+func sharesIndex(rank int) int {
+	return min(clampRank(rank), sharesRanks-1)
+}
+
 // With returns the shares with that of a rank set.
 func (s RankShares) With(rank int, admitted float64) RankShares {
-	shift := min(rank, sharesRanks-1) * shareBits
+	shift := sharesIndex(rank) * shareBits
 	value := RankShares(1 + admitted*(maxShareValue-1) + 0.5)
 	return s&^(maxShareValue<<shift) | value<<shift
 }
 
 // Admitted returns the admitted share of a rank, or false if it isn't known.
 func (s RankShares) Admitted(rank int) (float64, bool) {
-	value := s >> (min(rank, sharesRanks-1) * shareBits) & maxShareValue
+	value := s >> (sharesIndex(rank) * shareBits) & maxShareValue
 	if value == 0 {
 		return 0, false
 	}
