Look up the state of a route once for a request

Cause: priority, checkEntry and observeEntry each looked it up by the name of the route, on the path of every client request, and each decided again whether the request comes from a client. Now setPriority does both once, and the call holds the state. No behaviour changes.

--- a/wharfnode/internal/wharfproxy/classify.go
+++ b/wharfnode/internal/wharfproxy/classify.go
@@ -23,7 +23,7 @@
 		c.policy.Class = wharfconfig.Class{Name: c.parent.Class, Rank: c.parent.Rank}
 		c.priority = wharfadmission.Priority(c.parent.Priority)
 	} else {
-		c.priority = p.routes.priority(c)
+		p.setPriority(c)
 	}
 	if c.grant == nil {
 		c.grant = &rootGrant{grant: wharfbudget.NewGrant(c.policy.Attempts)}
--- a/wharfnode/internal/wharfproxy/proxy.go
+++ b/wharfnode/internal/wharfproxy/proxy.go
@@ -117,8 +117,10 @@
 	linked   bool
 	policy   wharfconfig.Policy
 	priority wharfadmission.Priority
-	body     body
-	memory   reservation
+	// routeState is the state of the route of a client request, nil for a call of a service.
+	routeState *routeState
+	body       body
+	memory     reservation
 	// tries counts the attempts that were made. lastTarget and lastAttempt are the target
 	// and the start of the last one.
 	tries       int
--- a/wharfnode/internal/wharfproxy/routestate.go
+++ b/wharfnode/internal/wharfproxy/routestate.go
@@ -35,25 +35,29 @@
 	return state.(*routeState)
 }
 
-// priority returns the priority of a client request.
-func (r *routeStates) priority(c *call) wharfadmission.Priority {
+// setPriority sets the priority of a request, and the state of its route if it comes from a client.
+func (p *Proxy) setPriority(c *call) {
 	rank, hash := c.policy.Class.Rank, xxhash.Sum64String(c.requestID)
-	if c.depth > 0 || c.hints.Timeout <= 0 || c.policy.Objective <= 0 {
-		return wharfadmission.PriorityOf(rank, hash)
+	c.priority = wharfadmission.PriorityOf(rank, hash)
+	if c.isDownstream() {
+		return
 	}
-	s := r.get(c.route())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.returns.Priority(time.Now(), rank, hash, c.hints.Timeout, c.policy.Objective)
+	c.routeState = p.routes.get(c.route())
+	if c.hints.Timeout <= 0 || c.policy.Objective <= 0 {
+		return
+	}
+	c.routeState.mu.Lock()
+	defer c.routeState.mu.Unlock()
+	c.priority = c.routeState.returns.Priority(time.Now(), rank, hash, c.hints.Timeout, c.policy.Objective)
 }
 
 // checkEntry rejects a client request that the target's node would reject for congestion
 // downstream. One with a key of its caller is sent on, since its response may be ready there.
 func (p *Proxy) checkEntry(c *call) (wharfoutcome.Outcome, bool) {
-	if c.isDownstream() || c.key != "" {
+	s := c.routeState
+	if s == nil || c.key != "" {
 		return wharfoutcome.Outcome{}, true
 	}
-	s := p.routes.get(c.route())
 	s.mu.Lock()
 	retryAfter, admitted := s.entry.Admit(time.Now(), c.priority)
 	s.mu.Unlock()
@@ -67,12 +71,11 @@
 // observeEntry records what the response to a client request reports, and whether the target's node
 // has rejected it for congestion downstream.
 func (s *attemptLoop) observeEntry() {
-	report, c := s.last.report, s.call
-	if report == nil || report.FromService || c.isDownstream() {
+	report, state := s.last.report, s.call.routeState
+	if report == nil || report.FromService || state == nil {
 		return
 	}
-	rank, now := c.policy.Class.Rank, time.Now()
-	state := s.proxy.routes.get(c.route())
+	rank, now := s.call.policy.Class.Rank, time.Now()
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	state.entry.Observe(now, rank, report.Shares)
--- a/wharfnode/internal/wharfproxy/routestate_test.go
+++ b/wharfnode/internal/wharfproxy/routestate_test.go
@@ -1,6 +1,7 @@
 package wharfproxy
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -31,7 +32,8 @@
 			is := is.New(t)
 			var p Proxy
 			c := &tc.call
-			c.r = httptest.NewRequest("GET", "/", nil)
+			c.r = httptest.NewRequest(http.MethodGet, "/", nil)
+			p.setPriority(c)
 			c.priority = wharfadmission.PriorityOf(2, 127)
 			s := p.routes.get(c.route())
 			s.entry.Observe(time.Now(), 2, wharfadmission.RankShares(0).With(2, 0))
