Share the rule for calls that may end before a stop

Cause: wharfproxy and wharftarget each had a constant of four usual latencies and the comparison with the end of the stop. Now both call wharfadmission. No behaviour changes: the proxy's margin is taken from the end instead of added to the time. Proxy.usualLatency, which only wrapped a call, is gone.

--- a/wharf/wharfadmission/latencyestimate.go
+++ b/wharf/wharfadmission/latencyestimate.go
@@ -7,6 +7,15 @@
 // is not refused for longer on an outdated one.
 const probeInterval = time.Second
 
+// safeLatencies is how many times the usual latency a request must have left to end in time.
+const safeLatencies = 4
+
+// EndsBefore reports whether a request of a usual latency that starts now is likely to end
+// before a time. Some requests take longer, so that it is no promise.
+func EndsBefore(end, now time.Time, usual time.Duration) bool {
+	return now.Add(safeLatencies * usual).Before(end)
+}
+
 // latencyEstimate is the usual latency of the requests of a rank. The zero latencyEstimate
 // knows no latency.
 type latencyEstimate struct {
--- a/wharfnode/internal/wharfproxy/stop.go
+++ b/wharfnode/internal/wharfproxy/stop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharfnode/wharfevents"
 )
@@ -33,10 +34,6 @@
 // stopRetryAfter is the retry-after hint at the end of a stop. Other nodes are ready.
 const stopRetryAfter = 100 * time.Millisecond
 
-// lateLatencies is how many times the usual latency of its service a late call of a target must
-// have left until the end of a stop.
-const lateLatencies = 4
-
 // checkStop refuses a late request that may outlast a planned stop: one of a client by its deadline,
 // because another node can serve it. The calls that a target of this node makes for a request in
 // flight have no other node, so that they are refused only if too little time is left for them.
@@ -49,7 +46,8 @@
 	if now.Before(s.Late) || c.deadline.Add(answerMargin).Before(s.End) {
 		return wharfoutcome.Outcome{}, true
 	}
-	if c.isDownstream() && now.Add(lateLatencies*p.usualLatency(c.service)+answerMargin).Before(s.End) {
+	usual := p.services.get(p.View, c.service).usualLatency()
+	if c.isDownstream() && wharfadmission.EndsBefore(s.End.Add(-answerMargin), now, usual) {
 		return wharfoutcome.Outcome{}, true
 	}
 	// The caller is told to use another connection, and to come back once the node has ended.
@@ -57,11 +55,6 @@
 	return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving).WithRetryAfter(s.End.Sub(now)), false
 }
 
-// usualLatency returns how long requests of a service take, zero if that isn't known.
-func (p *Proxy) usualLatency(service string) time.Duration {
-	return p.services.get(p.View, service).usualLatency()
-}
-
 // isDownstream reports whether a target of this node makes the call for a request that it
 // is serving.
 func (c *call) isDownstream() bool {
--- a/wharfnode/internal/wharftarget/leaving.go
+++ b/wharfnode/internal/wharftarget/leaving.go
@@ -4,14 +4,11 @@
 	"sync"
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfadmission"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharfnode/internal/wharfview"
 )
 
-// stopLatencies is how many times its usual latency a call that arrives during a planned stop
-// must have left until the end.
-const stopLatencies = 4
-
 // SetLeaving makes the node refuse all new calls from now on.
 func (s *Server) SetLeaving() {
 	s.leaving.Store(true)
@@ -48,7 +45,7 @@
 	c.target.mu.Lock()
 	latency := c.target.gate.UsualLatency(int(c.head.GetRank()))
 	c.target.mu.Unlock()
-	return time.Now().Add(stopLatencies * latency).Before(*end)
+	return wharfadmission.EndsBefore(*end, time.Now(), latency)
 }
 
 // leavingLocked reports whether the target gets no new calls; the caller holds the lock.
