--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -189,19 +189,20 @@
 func (m *machine) put(b beat) int {
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left_ms":0}}`,
 		m.app, b.born, b.service, m.zone, b.capacity, b.state, b.sequence)
-	status := m.control1(http.MethodPut, b.instance, body)
+	status := m.callControl(http.MethodPut, b.instance, body)
 	m.t.record("beat %s to %s state %s sequence %d: %d", b.instance, m.name, b.state, b.sequence, status)
 	return status
 }
 
 // del sends the notice that an upstream leaves.
 func (m *machine) del(b beat) int {
-	status := m.control1(http.MethodDelete, b.instance, fmt.Sprintf(`{"born":%d}`, b.born))
+	status := m.callControl(http.MethodDelete, b.instance, fmt.Sprintf(`{"born":%d}`, b.born))
 	m.t.record("delete %s at %s: %d", b.instance, m.name, status)
 	return status
 }
 
-func (m *machine) control1(method, instance, body string) int {
+// callControl sends a call of the upstream to the node. It returns the status, zero without a response.
+func (m *machine) callControl(method, instance, body string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	r, _ := http.NewRequestWithContext(ctx, method, "http://"+m.control+name("instances-path")+instance, strings.NewReader(body))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -134,7 +134,7 @@
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
 
-func play(play func(t *test) bool, folder string) (code int) {
+func play(playCase func(t *test) bool, folder string) (code int) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -173,7 +173,7 @@
 	t.store, err = startStore()
 	t.must(err)
 	t.record("trouble: %v", t.trouble)
-	if play(t) {
+	if playCase(t) {
 		t.record("result: broken")
 		fmt.Println("broken")
 		return exitBroken
