Ask the process that an attempt was sent to whether it ran

Cause: when the response of an attempt is lost, the sender asks the node of the target for the generated key of the attempt. It took the incarnation to ask from the member table at that moment. If gossip had brought the incarnation of a restarted process by then, this process answered that it had not dispatched the key, which the process before it may have done.

The owner is now looked up before anything is sent. An incarnation is in the table only once the process before it has ended, so what receives the attempt is this incarnation or a later one, and a later one refuses the query. The same holds for the query at the end of a planned stop.

Ruled out: the check of the incarnation at the queried node (it compares with its own); keys of callers, whose owners come from the log.

--- a/wharfnode/internal/wharfproxy/attempt.go
+++ b/wharfnode/internal/wharfproxy/attempt.go
@@ -61,7 +61,7 @@
 	ctx, monitored := monitor.Begin(c.ctx, c.deadline.Add(outcomeGrace), c.policy.Idempotent)
 	defer monitored.End()
 	x := &transfer{
-		proxy: p, call: c, target: target, ctx: ctx, monitored: monitored,
+		proxy: p, call: c, target: target, owner: p.attemptOwner(c, target), ctx: ctx, monitored: monitored,
 		stream: p.Transport.Open(ctx, target.NodeAddress), head: p.head(c, target, attempts),
 	}
 	if err := x.begin(); err != nil {
@@ -70,6 +70,17 @@
 	return x.receive()
 }
 
+// attemptOwner returns the owner of the generated key of an attempt: the present incarnation of the
+// target's node. It is looked up before anything is sent. An incarnation that starts later has no
+// entry of the key, although an earlier one may have run the request.
+func (p *Proxy) attemptOwner(c *call, target wharfrouting.Target) wharfidempotency.Owner {
+	if !c.mustNotRunTwice() {
+		return wharfidempotency.Owner{}
+	}
+	member, _ := p.View.Member(target.Node)
+	return wharfidempotency.Owner{Node: member.Node, Incarnation: member.Incarnation, Address: member.Address}
+}
+
 // notSentResult returns the result of an attempt that never left this node.
 func notSentResult(reason wharfoutcome.Reason, routing wharfrouting.Result) attemptResult {
 	return attemptResult{outcome: wharfoutcome.Refuse(reason), routing: routing}
@@ -266,18 +277,16 @@
 	resolveAtStopTimeout = 50 * time.Millisecond
 )
 
-// resolve asks the target's node about the generated key of the attempt. If the
-// node has not dispatched the request, it closes the key and never will, so the
-// outcome is that the request did not run.
+// resolve asks the owner of the generated key of the attempt. If the node has not
+// dispatched the request, it closes the key and never will, so the outcome is that
+// the request did not run. If the node has restarted since, the outcome stays o.
 func (x *transfer) resolve(ctx context.Context, timeout time.Duration, o wharfoutcome.Outcome) wharfoutcome.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	member, ok := x.proxy.View.Member(x.target.Node)
-	if !ok {
+	if x.owner.Node == "" {
 		return o
 	}
-	owner := wharfidempotency.Owner{Node: member.Node, Incarnation: member.Incarnation, Address: member.Address}
-	entry, err := x.proxy.Consulter.Consult(ctx, owner, wharftarget.GeneratedKey(x.head.GetAttemptId()))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	entry, err := x.proxy.Consulter.Consult(ctx, x.owner, wharftarget.GeneratedKey(x.head.GetAttemptId()))
 	if err == nil && entry.State == wharfidempotency.Absent {
 		return wharfoutcome.Refuse(wharfoutcome.ReasonResponseLost)
 	}
--- a/wharfnode/internal/wharfproxy/transfer.go
+++ b/wharfnode/internal/wharfproxy/transfer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfidempotency"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
 	"ragwortwharf.dev/wharf/wharfwire"
@@ -20,6 +21,9 @@
 	proxy  *Proxy
 	call   *call
 	target wharfrouting.Target
+	// owner is the node incarnation that owns the generated key of the attempt. It is zero if the
+	// node isn't known or the request may run twice.
+	owner  wharfidempotency.Owner
 	stream wharftransport.ClientStream
 	head   *wharfwire.CallHead
 	// ctx is the context of the stream. It ends with the cause
