Keep the reader of a call whose body may be read after its response

Cause: the handler of a call gave its reader back to the pool at its end, unless the body was announced as a stream. A body of 32 to 64 KB isn't, but comes in two frames, and the HTTP transport reads the second one also after the response of the target. Such a body was read by net/http too, before it wrote the response, so that the target could have got other bytes.

Whether a body is read later now follows from the first frame: it doesn't end the body. Then the reader isn't reused, and the connection is full duplex as for a stream.

Ruled out: the reader of responses and the buffers of frames, which only one goroutine uses, and the bodies of clients at the entry.

Evidence: TestBodyIsReadAfterResponse panicked before and passes now, 100 times with -race.

--- a/wharfnode/internal/wharftransport/server.go
+++ b/wharfnode/internal/wharftransport/server.go
@@ -28,9 +28,9 @@
 func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s := &serverStream{w: w, r: r, reader: newReader(r.Body), closeConnection: h.CloseConnection}
 	err := h.Receiver.Call(s)
-	// After a streamed body the reader is not reused, because another goroutine
-	// may still read from it.
-	if !s.streams {
+	// The reader of a body that came in several frames is not reused, because another
+	// goroutine may still read from it.
+	if !s.readLater {
 		freeReader(s.reader)
 	}
 	if err == nil {
@@ -54,10 +54,12 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	reader *bufio.Reader
-	// streams is true if the sender may still send the body while the response
-	// is sent.
-	streams bool
-	// ended is true once such a body was read to its end.
+	// begun is true once the first frame was received.
+	begun bool
+	// readLater is true if the first frame doesn't end the body. The rest may be read while the
+	// response is sent, and after it, by the goroutine that sends the body to the target.
+	readLater bool
+	// ended is true once the frame that ends the body was received.
 	ended atomic.Bool
 	// closeConnection is that of the Handler.
 	closeConnection func() bool
@@ -70,29 +72,44 @@
 }
 
 func (s *serverStream) Recv() (*wharfwire.CallFrame, error) {
+	if s.ended.Load() {
+		return nil, io.EOF
+	}
 	f := new(wharfwire.CallFrame)
 	if err := unmarshal.UnmarshalFrom(s.reader, f); err != nil {
 		return nil, err
 	}
-	if f.GetHead().GetStreams() {
-		s.streams = true
-		// Without full duplex, net/http reads the whole request body before it
-		// writes a response.
-		if err := http.NewResponseController(s.w).EnableFullDuplex(); err != nil {
-			return nil, err
-		}
+	if err := s.begin(f); err != nil {
+		return nil, err
 	}
-	if f.GetEnd() != nil && s.streams {
+	if f.GetEnd() == nil {
+		return f, nil
+	}
+	if s.readLater {
 		// net/http notices that the sender has disconnected only after the
 		// request body was read to EOF.
 		if _, err := s.reader.ReadByte(); !errors.Is(err, io.EOF) {
 			return nil, io.ErrUnexpectedEOF
 		}
-		s.ended.Store(true)
 	}
+	s.ended.Store(true)
 	return f, nil
 }
 
+// begin prepares the stream for a body of several frames, if f is the first frame.
+func (s *serverStream) begin(f *wharfwire.CallFrame) error {
+	if s.begun {
+		return nil
+	}
+	s.begun, s.readLater = true, f.GetEnd() == nil
+	if !s.readLater {
+		return nil
+	}
+	// Without full duplex, net/http reads the rest of the request body itself before it writes
+	// a response.
+	return http.NewResponseController(s.w).EnableFullDuplex()
+}
+
 // Send writes a frame. A frame that is the complete response is sent with a
 // Content-Length, so that it takes one write.
 func (s *serverStream) Send(f *wharfwire.AnswerFrame) error {
@@ -128,11 +145,11 @@
 	}
 }
 
-// end closes a streamed body of which a part is unread. If net/http reached its end only after
-// the handler, it would read the next request twice at once and panic. The sender ends its body
-// once it has the response.
+// end closes a body of several frames of which a part is unread. If net/http reached its end only
+// after the handler, it would read the next request twice at once and panic. The sender ends its
+// body once it has the response.
 func (s *serverStream) end() {
-	if s.streams && !s.ended.Load() {
+	if s.readLater && !s.ended.Load() {
 		_ = http.NewResponseController(s.w).Flush()
 		_ = s.r.Body.Close()
 	}
