Don't dispatch a call after its address has gone to another service

Cause: the announcement at a known address replaced the earlier one, but left the calls waiting in the gate. The dispatch took the instance as announced last, so that the new target found itself named as the expected one. Now such an announcement refuses the waiting calls, the check before a dispatch compares the service and records the instance, and a target that expires refuses what waits for it.

Ruled out: the choice of the target at the arrival of a call, which compares the service, and the senders, whose calls the node checks.

--- a/wharfnode/internal/wharftarget/admit.go
+++ b/wharfnode/internal/wharftarget/admit.go
@@ -193,16 +193,21 @@
 	t.gate.SetReserves(reserves)
 }
 
-// beginDispatch records that the call is in flight to the target. It returns false
-// and records nothing if the target has started to leave while the call waited.
-func (t *target) beginDispatch(c *call) bool {
+// beginDispatch records that the call is in flight to the target, and to which instance of it. It
+// returns the reason to refuse the call, and records nothing, if the target has started to leave
+// while the call waited, or if its address has gone to a target of another service.
+func (t *target) beginDispatch(c *call) wharfoutcome.Reason {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leavingLocked() {
-		return false
+	switch {
+	case t.removed || t.info.Service != c.head.GetService():
+		return wharfoutcome.ReasonNoTarget
+	case t.leavingLocked():
+		return wharfoutcome.ReasonLeaving
 	}
+	c.instance = t.info.Labels[wharfmember.LabelInstance]
 	t.inFlight[c.id] = inFlightRequest{c.fingerprint, t.crashes}
-	return true
+	return wharfoutcome.ReasonNone
 }
 
 // rejectWaiting refuses all waiting calls of the target, so that their senders can
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -84,9 +84,9 @@
 		s.abandonKey(c)
 		return o, false
 	}
-	if !c.target.beginDispatch(c) {
+	if reason := c.target.beginDispatch(c); reason != wharfoutcome.ReasonNone {
 		s.abandonKey(c)
-		return wharfoutcome.Refuse(wharfoutcome.ReasonLeaving), false
+		return wharfoutcome.Refuse(reason), false
 	}
 	if o, ok := s.tryDispatchKey(c); !ok {
 		return o, false
@@ -178,7 +178,7 @@
 		RequestID: c.head.GetRequestId(),
 		Host:      c.head.GetHost(),
 		Caller:    c.head.GetCaller(),
-		Instance:  c.target.instance(),
+		Instance:  c.instance,
 		Remaining: time.Until(c.deadline),
 		Context: wharfwire.Context{
 			RequestID: c.head.GetRequestId(),
--- a/wharfnode/internal/wharftarget/receive.go
+++ b/wharfnode/internal/wharftarget/receive.go
@@ -114,6 +114,9 @@
 	fingerprint wharfquarantine.Fingerprint
 	// target is nil if this node has no target for the call.
 	target *target
+	// instance is the instance of the target that the call was dispatched to. It is empty if the
+	// target has announced none.
+	instance string
 	// conn is the connection to the target.
 	conn connection
 
--- a/wharfnode/internal/wharftarget/registry.go
+++ b/wharfnode/internal/wharftarget/registry.go
@@ -47,6 +47,8 @@
 	renewed time.Time
 	// leaving is true from Leave until the next announcement.
 	leaving bool
+	// removed is true once the target is not in the registry any more.
+	removed bool
 	// reservesOffset is the offset of the configuration from which the reserves of
 	// the gate were set.
 	reservesOffset uint64
@@ -97,6 +99,10 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if t.info.Service != info.Service {
+			// The address belongs to a target of another service now.
+			t.rejectWaiting(wharfoutcome.ReasonNoTarget)
+		}
 		same := wharfmember.SameTarget(t.info, info) && !t.leaving
 		if t.info.Slots != info.Slots {
 			t.gate.SetLimiter(g.limiter(info.Slots))
@@ -165,8 +171,8 @@
 	return true
 }
 
-// Remove removes a target. It returns false and does nothing if the target is unknown
-// or has requests in flight.
+// Remove removes a target and refuses the calls that wait for it. It returns false and does
+// nothing if the target is unknown or has requests in flight.
 func (g *Registry) Remove(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -174,10 +180,7 @@
 		if t.address != address {
 			continue
 		}
-		t.mu.Lock()
-		busy := len(t.inFlight) > 0
-		t.mu.Unlock()
-		if busy {
+		if !t.remove() {
 			return false
 		}
 		g.targets = append(g.targets[:i:i], g.targets[i+1:]...)
@@ -186,6 +189,19 @@
 	return false
 }
 
+// remove refuses the calls that wait for the target, and all that were admitted and not yet
+// dispatched. It returns false and does nothing if requests are in flight.
+func (t *target) remove() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.inFlight) > 0 {
+		return false
+	}
+	t.removed = true
+	t.rejectWaiting(wharfoutcome.ReasonNoTarget)
+	return true
+}
+
 // Expired returns the targets whose last announcement is older than timeout.
 func (g *Registry) Expired(now time.Time, timeout time.Duration) []wharfmember.Target {
 	var out []wharfmember.Target
--- a/wharfnode/internal/wharftarget/repeat.go
+++ b/wharfnode/internal/wharftarget/repeat.go
@@ -94,7 +94,7 @@
 	if _, pass := s.checkQuarantined(c); !pass {
 		return false
 	}
-	return c.target.beginDispatch(c) && c.target.allowRepeat(c, s.RepeatLimit)
+	return c.target.beginDispatch(c) == wharfoutcome.ReasonNone && c.target.allowRepeat(c, s.RepeatLimit)
 }
 
 // recordRefusal records whether the target has refused a call that was sent to it.
