Keep the departures of targets beyond a restart of the node

Cause: only the memory of the process held that an incarnation has left. The first heartbeat that a new process saw passed for the present state, and a notice before it was forgotten.

Ruled out: two heartbeats or a probe before a target is used after a restart (delayed heartbeats may come in pairs, health checks mislead, and each restart would take its target out of use); gossip alone (all nodes may be killed at once).

--- a/wharf/wharfmember/incarnations.go
+++ b/wharf/wharfmember/incarnations.go
@@ -60,17 +60,34 @@
 	return true
 }
 
-// End records that a target announced its end. It returns false if that target
-// doesn't use the address.
+// End records that a target announced its end, so that its later announcements have no
+// effect. It returns false if that target doesn't use the address.
 func (t *IncarnationTracker) End(a TargetAnnouncement) bool {
 	if !t.known || a.Instance != t.current.Instance || a.StartedMs != 0 && a.StartedMs < t.current.StartedMs {
+		if !t.hasEnded(a) {
+			t.end(a)
+		}
 		return false
 	}
-	t.end(t.current)
+	ended := t.current
+	ended.StartedMs = max(ended.StartedMs, a.StartedMs)
+	t.end(ended)
 	t.known = false
 	return true
 }
 
+// Ended returns the last incarnations that have ended, the latest last. Those whose start
+// isn't known are left out: a later incarnation of the instance couldn't be told from them.
+func (t *IncarnationTracker) Ended(limit int) []TargetAnnouncement {
+	var out []TargetAnnouncement
+	for _, e := range t.ended {
+		if e.StartedMs != 0 {
+			out = append(out, e)
+		}
+	}
+	return out[max(len(out)-limit, 0):]
+}
+
 func (t *IncarnationTracker) end(incarnation TargetAnnouncement) {
 	t.ended = append(t.ended, incarnation)
 	if extra := len(t.ended) - maxEndedIncarnations; extra > 0 {
--- a/wharf/wharfmember/incarnations_test.go
+++ b/wharf/wharfmember/incarnations_test.go
@@ -31,6 +31,9 @@
 		{"ended and restarted", []step{{TargetAnnouncement{"a", 5, 1}, false, true}, {TargetAnnouncement{"a", 5, 0}, true, true}, {TargetAnnouncement{"a", 8, 1}, false, true}}, "a"},
 		{"end of an earlier target", []step{{TargetAnnouncement{"a", 5, 1}, false, true}, {TargetAnnouncement{"b", 6, 1}, false, true}, {TargetAnnouncement{"a", 5, 0}, true, false}}, "b"},
 		{"delayed end of an earlier incarnation", []step{{TargetAnnouncement{"a", 7, 1}, false, true}, {TargetAnnouncement{"a", 5, 0}, true, false}}, "a"},
+		{"delayed announcement after the end of an unknown target", []step{{TargetAnnouncement{"a", 5, 0}, true, false}, {TargetAnnouncement{"a", 5, 1}, false, false}}, ""},
+		{"restarted after the end of an unknown target", []step{{TargetAnnouncement{"a", 5, 0}, true, false}, {TargetAnnouncement{"a", 6, 1}, false, true}}, "a"},
+		{"delayed announcement after the end of a restarted target", []step{{TargetAnnouncement{"a", 5, 9}, false, true}, {TargetAnnouncement{"a", 7, 0}, true, true}, {TargetAnnouncement{"a", 7, 1}, false, false}}, ""},
 		{"without start times", []step{{TargetAnnouncement{"a", 0, 1}, false, true}, {TargetAnnouncement{"b", 0, 1}, false, true}, {TargetAnnouncement{"a", 0, 2}, false, false}}, "b"},
 	}
 	for _, tc := range tests {
