Send a path that begins with // as the caller wrote it

Cause: the encoded path was set as the decoded path of the URL, which net/http encodes. Both forms are set now. A path that net/http would still change, because it has characters that a URI can't have, is answered 400.

Ruled out: the opaque form of all other paths, and the URI between nodes.

--- a/wharf/wharfoutcome/outcome.go
+++ b/wharf/wharfoutcome/outcome.go
@@ -93,6 +93,8 @@
 	// The path, the ID, the caller or the key isn't UTF-8, so that it can't be sent to
 	// another node.
 	ReasonNotUTF8 Reason = "not-utf8"
+	// The path has characters that a URI can't have, so that it can't be sent unchanged.
+	ReasonMalformedURI Reason = "malformed-uri"
 	// The body of the request was truncated.
 	ReasonBodyIncomplete Reason = "body-incomplete"
 	// The call chain is deeper than wharfwire.MaxDepth.
@@ -163,6 +165,7 @@
 	{ReasonMalformedTimeout, http.StatusBadRequest},
 	{ReasonMalformedKey, http.StatusBadRequest},
 	{ReasonNotUTF8, http.StatusBadRequest},
+	{ReasonMalformedURI, http.StatusBadRequest},
 	{ReasonBodyIncomplete, http.StatusBadRequest},
 	{ReasonUnknownService, http.StatusNotFound},
 	{ReasonUnknownRoute, http.StatusNotFound},
--- a/wharfnode/internal/wharfproxy/identify.go
+++ b/wharfnode/internal/wharfproxy/identify.go
@@ -9,6 +9,7 @@
 	"ragwortwharf.dev/wharf/wharfbudget"
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfwire"
+	"ragwortwharf.dev/wharfnode/internal/wharftarget"
 	"ragwortwharf.dev/wharfnode/wharfprotocol"
 )
 
@@ -23,6 +24,9 @@
 	if !encodable(c.r.RequestURI, hints) {
 		return wharfoutcome.Refuse(wharfoutcome.ReasonNotUTF8), false
 	}
+	if !wharftarget.KeepsURI(c.r.RequestURI) {
+		return wharfoutcome.Refuse(wharfoutcome.ReasonMalformedURI), false
+	}
 	if hints.Context != "" {
 		return p.continueRequest(c, hints.Context)
 	}
--- a/wharfnode/internal/wharftarget/dispatch.go
+++ b/wharfnode/internal/wharftarget/dispatch.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strings"
 	"sync"
 	"time"
 
@@ -161,7 +159,7 @@
 // without one.
 func (s *Server) request(c *call, ctx context.Context, conn *connection) *http.Request {
 	r := (&http.Request{
-		Method: c.head.GetMethod(), URL: urlOf(c.target.address, c.head.GetUri()),
+		Method: c.head.GetMethod(), URL: requestURL(c.target.address, c.head.GetUri()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: c.headers,
 	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: conn.use}))
 	if !c.body.empty {
@@ -191,21 +189,6 @@
 	return r
 }
 
-// urlOf returns the URL of a request to a target. The opaque form keeps the URI as
-// the caller wrote it, without decoding and encoding it again. net/http would send an
-// opaque URI that begins with // as an absolute URI, whose host is the first path
-// segment, so such a URI is set as path and query instead. net/http encodes this path
-// again.
-func urlOf(address, uri string) *url.URL {
-	u := &url.URL{Scheme: "http", Host: address}
-	if strings.HasPrefix(uri, "//") {
-		u.Path, u.RawQuery, _ = strings.Cut(uri, "?")
-		return u
-	}
-	u.Opaque = uri
-	return u
-}
-
 // closeGrant closes the ledger entry of the call and stores the results of its
 // downstream calls in c.
 func (s *Server) closeGrant(c *call) {
