Don't crash on a response on a connection that a request must not use

Cause: such a request has no connection on record, and its response was judged by it. The response is that to another request, so the outcome is unknown now.

Evidence: TestResponseOnBlockedConnection panicked before and passes now.

--- a/wharfnode/internal/wharftarget/connection.go
+++ b/wharfnode/internal/wharftarget/connection.go
@@ -155,8 +155,12 @@
 }
 
 // judge returns what a response means on this connection. A refusal that names no request may
-// be an earlier one, unless it is the first on its connection.
+// be an earlier one, unless it is the first on its connection. A response on a blocked connection,
+// on which the request wasn't sent, is that to another request.
 func (c *connection) judge(v wharfprotocol.Classification) wharfprotocol.Classification {
+	if c.conn == nil {
+		return wharfprotocol.Classification{Kind: wharfoutcome.Unknown, Reason: wharfoutcome.ReasonResponseLost}
+	}
 	if v.Kind == wharfoutcome.NotRun && v.Unnamed && !c.clean {
 		v = wharfprotocol.Classification{Kind: wharfoutcome.Unknown, Reason: wharfoutcome.ReasonResponseLost, Unnamed: true}
 	}
