--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(w *world) (int, error){
 	"moved":   playMoved,
 	"popular": playPopular,
+	"readers": playReaders,
 	"slow":    playSlowRead,
 	"weights": playWeights,
 	"storm":   playStorm,
