--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
   echo "build the programs first: the line in deploy/system.toml, and review/build-2.sh"
   exit 2
 fi
-exec target/standin2 moved review/10
+exec target/standin2 leave review/10
--- a/review/standin-2/machine.go
+++ b/review/standin-2/machine.go
@@ -358,15 +358,26 @@
 	_, _ = w.Write(u.body)
 }
 
-// beat sends a heartbeat with a state.
-func (u *upstream) beat(state string) error {
+// beat sends a heartbeat.
+func (u *upstream) beat() error {
+	return u.say(http.MethodPut, u.describe())
+}
+
+// describe returns the content of the next heartbeat.
+func (u *upstream) describe() []byte {
 	m := u.machine
 	body, _ := json.Marshal(map[string]any{
 		"address": m.addr(portApp), "born": u.born,
 		"info":   map[string]any{"service": m.service, "version": "v1", "zone": m.zone, "capacity": u.slots},
-		"status": map[string]any{"state": state, "sequence": u.sequence.Add(1), "warmup_left_ms": 0},
+		"status": map[string]any{"state": "ready", "sequence": u.sequence.Add(1), "warmup_left_ms": 0},
 	})
-	r, _ := http.NewRequest(http.MethodPut, "http://"+m.addr(portControl)+m.world.names["instances"]+u.id, bytes.NewReader(body))
+	return body
+}
+
+// say sends a message about the upstream to the node beside it.
+func (u *upstream) say(method string, body []byte) error {
+	m := u.machine
+	r, _ := http.NewRequest(method, "http://"+m.addr(portControl)+m.world.names["instances"]+u.id, bytes.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	response, err := (&http.Client{Timeout: time.Second}).Do(r)
 	if err != nil {
@@ -381,7 +392,7 @@
 
 func (u *upstream) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		_ = u.beat("ready")
+		_ = u.beat()
 		select {
 		case <-ctx.Done():
 		case <-time.After(beatInterval):
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,6 +8,7 @@
 )
 
 var cases = map[string]func(w *world) (int, error){
+	"leave":   playLeave,
 	"moved":   playMoved,
 	"popular": playPopular,
 	"readers": playReaders,
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -39,6 +39,22 @@
 	topics  map[string]*topic
 	changed chan struct{}
 	servers []*http.Server
+	// silent leaves all calls without a response, and does nothing for them.
+	silent bool
+}
+
+// setSilent takes the store down, or brings it back.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.wake()
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
 }
 
 func newStore(names map[string]string, keep time.Duration) *store {
@@ -108,6 +124,10 @@
 		return
 	}
 	time.Sleep(s.answer)
+	if s.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Store-Era", "0")
 	switch r.URL.Path {
 	case s.names["append"]:
@@ -145,6 +165,10 @@
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		s.mu.Lock()
 		t, changed := s.topic(q.Get("topic")), s.changed
 		if from < t.first || from > t.end {
