Read the store in time after the loss of all readers

Callers got 404 for a route up to 3.6 s after its acknowledgement, where 2 s are allowed: a node relied for 4.25 s and a random time on the two nodes of its failure domain that read the store.

Before that age a node asks a reader of its failure domain, so that only readers read the store without a fault, also while the configuration changes: a reader's next read ends when its confirmation is as old as its longest read, and a response confirms the time at which its request was sent.

Ruled out: reads by every node (calls grow with the nodes), faster detection (a loss of power always takes a timeout).

TestStaleNodeReadsInBoundedTime has the same bounds, written with the age and rate that are now set by the caller.

--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -55,6 +55,10 @@
 	// is how long a read waits for new records.
 	Readers  int
 	PollWait time.Duration
+	// MaxStateAge is how long after the last confirmation of its state a node reads the log
+	// itself. Nodes that do so together begin about ReadRate reads a second.
+	MaxStateAge time.Duration
+	ReadRate    int
 	// SnapshotInterval is the time between two snapshots in the log.
 	SnapshotInterval time.Duration
 	// TargetTimeout is how long a target stays registered after its last
--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -109,7 +109,7 @@
 	now := time.Now()
 	a.mergeMembers(a.receivedMembers(r.GetFrom(), r.GetMembers()))
 	a.applyRecords(r.GetFrom(), unpackRecords(r.GetRecords()))
-	a.confirm(now, r.GetFreshness())
+	a.confirm(now.Add(-callTimeout), r.GetFreshness())
 	wharftarget.MergeSuspicions(a.Quarantine, a.Log, r.GetSuspicions())
 	for _, report := range r.GetAccusations() {
 		a.reportFailure(wharfmember.FailureReport{Subject: report.GetSubject(), Incarnation: report.GetIncarnation(), Reporter: report.GetReporter()})
@@ -190,16 +190,15 @@
 	})
 }
 
-// applyResponse applies the response of a peer: member entries, state and
-// suspicions.
-func (a *Agent) applyResponse(peer string, r *wharfwire.ExchangeResponse) {
-	now := time.Now()
+// applyResponse applies the response of a peer to a request that was sent at a time: member
+// entries, state and suspicions.
+func (a *Agent) applyResponse(peer string, r *wharfwire.ExchangeResponse, sentAt time.Time) {
 	a.mergeMembers(a.receivedMembers(peer, r.GetMembers()))
 	if data := r.GetSnapshot(); len(data) > 0 {
 		a.restoreSnapshot(peer, data)
 	}
 	a.applyRecords(peer, unpackRecords(r.GetRecords()))
-	a.confirm(now, r.GetFreshness())
+	a.confirm(sentAt, r.GetFreshness())
 	wharftarget.MergeSuspicions(a.Quarantine, a.Log, r.GetSuspicions())
 }
 
@@ -238,11 +237,10 @@
 }
 
 // confirm records that the state is complete, if it has reached the end of the
-// log that a peer reports. It adds callTimeout to the reported age, because the
-// message may have been in transit for that long.
-func (a *Agent) confirm(now time.Time, f *wharfwire.Freshness) {
+// log that a peer reports. The peer has determined the reported age at sentAt or later.
+func (a *Agent) confirm(sentAt time.Time, f *wharfwire.Freshness) {
 	if f != nil {
-		a.View.Confirm(f.GetOffset(), now.Add(-callTimeout-wharfwire.Duration(f.GetAgeMs())))
+		a.View.Confirm(f.GetOffset(), sentAt.Add(-wharfwire.Duration(f.GetAgeMs())))
 	}
 }
 
--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -26,25 +26,17 @@
 	// roleInterval is how often a node that doesn't read the log checks whether
 	// it should.
 	roleInterval = 500 * time.Millisecond
-	// staleMargin is how much older than one read of a reader the last
-	// confirmation must be for the state to become stale. It covers the gossip
-	// rounds from a reader to this node and the call timeout that confirm adds at
-	// each. A node with stale state reads the log itself, after a random wait that
-	// grows with the number of nodes, so that they don't all read at once.
-	staleMargin = 3 * time.Second
 	// settleTime is how long a node that has joined waits before it decides
 	// whether it is a reader. Gossip has spread most entries by then, and the state
 	// if another node has it.
 	settleTime = 100 * time.Millisecond
-	// staleReadInterval is the interval in which about one of the known nodes
-	// starts to read while all of them are stale. One node waits for at most this
-	// interval times the number of known nodes.
-	staleReadInterval = 250 * time.Millisecond
-	// emptyInterval and emptyReadInterval are the same as roleInterval and
-	// staleReadInterval for nodes without any state. Such nodes can't serve, and
-	// after a restart of all nodes none gets the state from another.
-	emptyInterval     = 50 * time.Millisecond
-	emptyReadInterval = 25 * time.Millisecond
+	// minInterval is the least time between two such checks.
+	minInterval = time.Millisecond
+	// emptyInterval and emptyReadRate are the same as roleInterval and Agent.ReadRate for
+	// nodes without any state. Such nodes can't serve, and after a restart of all nodes none
+	// gets the state from another.
+	emptyInterval = 50 * time.Millisecond
+	emptyReadRate = 40
 	// logSource is the source of records, in log lines, that this node read itself.
 	logSource = "log"
 )
@@ -57,13 +49,16 @@
 	// failedSince is when the first of the reads that failed in a row began. It is zero
 	// if the last read succeeded.
 	failedSince time.Time
-	// reader is whether this node is a reader, and version is the version of the
-	// view at which reader was computed.
+	// readers are the readers of this failure domain, and version is the version of the
+	// view at which they were computed.
 	version uint64
-	reader  bool
+	readers []string
 	// readAt is when this node reads because its state is stale. It is zero if the state
-	// isn't, and after the read.
+	// isn't, and after a read that succeeded.
 	readAt time.Time
+	// askAt is the earliest time at which this node asks a reader again, after one that
+	// couldn't confirm the state.
+	askAt time.Time
 	// pending holds the records read after a gap, that is, after records that
 	// expired in the log before this node read them. They are kept until one of
 	// them is a snapshot that covers the gap. Until then, from is the offset of
@@ -77,21 +72,32 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if !f.due() {
-			if !wharftimer.Sleep(ctx, f.interval()) {
-				return
-			}
-			continue
-		}
-		requestedAt, position, wait := time.Now(), f.position(), f.pollWait()
-		err := f.read(ctx, requestedAt)
-		early := f.position() == position && time.Since(requestedAt) < wait
-		if (err != nil || early) && !wharftimer.Sleep(ctx, time.Until(requestedAt.Add(retryInterval))) {
-			return
+		switch {
+		case f.due():
+			f.poll(ctx)
+		case f.shouldAsk():
+			f.ask(ctx)
+		default:
+			wharftimer.Sleep(ctx, f.interval())
 		}
 	}
 }
 
+// poll reads once, and waits before the next read if this one brought nothing.
+func (f *follower) poll(ctx context.Context) {
+	requestedAt, position, wait := time.Now(), f.position(), f.pollWait()
+	confirmedAt := f.agent.View.ConfirmedAt()
+	err := f.read(ctx, requestedAt, wait)
+	waited := time.Since(requestedAt) >= wait && f.agent.View.ConfirmedAt().After(confirmedAt)
+	if err == nil && (waited || f.position() != position) {
+		return
+	}
+	if !f.isReader() && !f.empty() {
+		f.readAt = requestedAt.Add(f.agent.MaxStateAge + f.staleWait())
+	}
+	wharftimer.Sleep(ctx, time.Until(requestedAt.Add(retryInterval)))
+}
+
 // position returns the offset at which the next read begins.
 func (f *follower) position() uint64 {
 	return max(f.agent.View.State().Offset()+1, f.from)
@@ -114,7 +120,7 @@
 		return true
 	}
 	now := time.Now()
-	if now.Sub(f.agent.View.ConfirmedAt()) < f.agent.PollWait+staleMargin {
+	if now.Sub(f.agent.View.ConfirmedAt()) < f.agent.MaxStateAge {
 		f.readAt = time.Time{}
 		return false
 	}
@@ -128,29 +134,77 @@
 	return true
 }
 
-// staleWait returns how long a node waits until it reads in place of the readers. Of n nodes
-// that become stale together, about one reads in each staleReadInterval, and each of them
-// within n of these intervals.
+// staleWait returns how long a node waits until it reads in place of the readers. Nodes that
+// become stale together begin about Agent.ReadRate reads a second, and each of them reads
+// within the time that this takes for all known nodes.
 func (f *follower) staleWait() time.Duration {
-	interval := staleReadInterval
+	rate := f.agent.ReadRate
 	if f.empty() {
-		interval = emptyReadInterval
+		rate = emptyReadRate
 	}
-	longest := interval * time.Duration(max(f.agent.View.KnownNodes(), 1))
+	longest := time.Second * time.Duration(max(f.agent.View.KnownNodes(), 1)) / time.Duration(rate)
 	return time.Duration(f.rng.Int64N(int64(longest)))
 }
 
+// askAge is the age of the last confirmation at which a node asks a reader. A reader that
+// reads the log has a more recent one, because its reads end after PollWait.
+func (f *follower) askAge() time.Duration {
+	return (f.agent.PollWait + f.agent.MaxStateAge) / 2
+}
+
+// shouldAsk reports whether this node should ask a reader now, because gossip hasn't
+// confirmed its state.
+func (f *follower) shouldAsk() bool {
+	now := time.Now()
+	return !f.empty() && now.Sub(f.agent.View.ConfirmedAt()) >= f.askAge() && !now.Before(f.askAt)
+}
+
+// ask gets the state, or its confirmation, from a reader of this failure domain. If the
+// reader doesn't respond, this node reads the log itself once its state is stale.
+func (f *follower) ask(ctx context.Context) {
+	now, v := time.Now(), f.agent.View
+	confirmedAt := v.ConfirmedAt()
+	defer func() {
+		if !v.ConfirmedAt().After(confirmedAt) {
+			f.askAt = now.Add(f.agent.PollWait)
+		}
+	}()
+	remaining := f.agent.MaxStateAge - now.Sub(confirmedAt)
+	if f.isReader() || remaining <= 0 || len(f.readers) == 0 {
+		return
+	}
+	reader, ok := v.Member(f.readers[f.rng.IntN(len(f.readers))])
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	_ = f.agent.exchange(ctx, reader, v.State().Offset())
+}
+
 // empty reports whether this node has no state yet.
 func (f *follower) empty() bool {
 	return f.agent.View.State().Offset() == 0
 }
 
-// interval returns the time between two checks whether this node should read.
+// interval returns the time until the next check whether this node should read or ask.
 func (f *follower) interval() time.Duration {
 	if f.empty() {
 		return emptyInterval
 	}
-	return roleInterval
+	confirmedAt := f.agent.View.ConfirmedAt()
+	next := later(confirmedAt.Add(f.agent.MaxStateAge), f.readAt)
+	if ask := later(confirmedAt.Add(f.askAge()), f.askAt); ask.Before(next) {
+		next = ask
+	}
+	return min(max(time.Until(next), minInterval), roleInterval)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // isReader reports whether this node is a reader of its failure domain. Nodes may
@@ -160,9 +214,9 @@
 	v := f.agent.View
 	if version := v.Version(); version != f.version {
 		f.version = version
-		f.reader = slices.Contains(f.agent.ReaderNodes(), v.Node())
+		f.readers = f.agent.ReaderNodes()
 	}
-	return f.reader
+	return slices.Contains(f.readers, v.Node())
 }
 
 // ReaderNodes returns the nodes that read the log for this failure domain: the first
@@ -190,19 +244,20 @@
 	return cmp.Compare(xxhash.Sum64String("reader\x00"+a), xxhash.Sum64String("reader\x00"+b))
 }
 
-// pollWait returns how long the next read waits for records. After a failure the read
-// doesn't wait: a read that was sent to an unresponsive log ends only after its wait, and
-// delays the next read although the log may be available again.
+// pollWait returns how long the next read waits for records. It ends when the last
+// confirmation is as old as PollWait, because a read that returns records confirms only the
+// time at which it began. After a failure the read doesn't wait: a read that was sent to an
+// unresponsive log ends only after its wait, and delays the next read although the log may be
+// available again.
 func (f *follower) pollWait() time.Duration {
 	if !f.failedSince.IsZero() {
 		return 0
 	}
-	return f.agent.PollWait
+	return max(f.agent.PollWait-time.Since(f.agent.View.ConfirmedAt()), 0)
 }
 
-func (f *follower) read(ctx context.Context, requestedAt time.Time) error {
-	v := f.agent.View
-	from, wait := f.position(), f.pollWait()
+func (f *follower) read(ctx context.Context, requestedAt time.Time, wait time.Duration) error {
+	v, from := f.agent.View, f.position()
 	batch, err := f.agent.LogClient.Read(ctx, wharfstate.StateStream, from, readLimit, wait)
 	if errors.Is(err, wharfstream.ErrExpired) {
 		f.agent.Log.Emit(wharfevents.RecordsExpired,
--- a/wharfnode/internal/wharfcluster/follower_test.go
+++ b/wharfnode/internal/wharfcluster/follower_test.go
@@ -20,12 +20,16 @@
 // TestStaleNodeReadsInBoundedTime guards against a change that is in force late because the
 // nodes that may read the log in place of the readers happen not to, again and again.
 func TestStaleNodeReadsInBoundedTime(t *testing.T) {
+	const (
+		maxStateAge = 3 * time.Second
+		readRate    = 4
+	)
 	for _, nodes := range []int{1, 3, 16} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				bound := staleMargin + time.Duration(nodes)*staleReadInterval + roleInterval
+				bound := maxStateAge + time.Second*time.Duration(nodes)/readRate + roleInterval
 				for seed := range uint64(500) {
-					a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"})}
+					a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), MaxStateAge: maxStateAge, ReadRate: readRate}
 					for i := range nodes {
 						a.View.Merge([]wharfmember.Member{{Node: fmt.Sprintf("n%02d", i), FailureDomain: "d"}})
 					}
--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -165,13 +165,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := a.request(since)
+	request, sentAt := a.request(since), time.Now()
 	response, err := client.Exchange(ctx, request)
 	if err != nil {
 		return err
 	}
 	a.countBytes(request, response)
-	a.applyResponse(peer.Node, response)
+	a.applyResponse(peer.Node, response, sentAt)
 	return a.sync(ctx, client, peer.Node, response)
 }
 
@@ -199,13 +199,13 @@
 // most maxSyncs exchanges.
 func (a *Agent) sync(ctx context.Context, client wharfwire.NodeClient, peer string, response *wharfwire.ExchangeResponse) error {
 	for i := 0; i < maxSyncs && len(response.GetBuckets()) > 0; i++ {
-		request := a.syncRequest(response.GetBuckets())
+		request, sentAt := a.syncRequest(response.GetBuckets()), time.Now()
 		next, err := client.Exchange(ctx, request)
 		if err != nil {
 			return err
 		}
 		a.countBytes(request, next)
-		a.applyResponse(peer, next)
+		a.applyResponse(peer, next, sentAt)
 		if len(next.GetMembers()) == 0 && len(request.GetMembers()) == 0 {
 			return nil
 		}
--- a/wharfnode/internal/wharfcluster/round_test.go
+++ b/wharfnode/internal/wharfcluster/round_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -60,7 +61,7 @@
 			is := is.New(t)
 			a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), Quarantine: &wharfquarantine.List{}}
 			a.Prepare()
-			a.applyResponse("n01", tc.response)
+			a.applyResponse("n01", tc.response, time.Now())
 			is.Equal(a.View.State().Offset(), uint64(1))
 			is.Equal(len(a.urgent), 1)
 		})
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -150,6 +150,7 @@
 		View: n.view, Peers: n.peers, LogClient: options.Log,
 		Registry: registry, Quarantine: quarantine, Keys: keys, Directory: options.Directory,
 		OwnsKeys: !options.NoCallerKeys, Readers: options.Readers, PollWait: options.PollWait,
+		MaxStateAge: options.MaxStateAge, ReadRate: options.ReadRate,
 		SnapshotInterval: settings.SnapshotInterval, TargetTimeout: settings.TargetTimeout,
 		Log: log, Metrics: metrics,
 	}
--- a/wharfnode/wharfserver/options.go
+++ b/wharfnode/wharfserver/options.go
@@ -58,6 +58,13 @@
 	// PollWait is how long a read of the log waits for records. Zero means
 	// defaultPollWait.
 	PollWait time.Duration
+	// MaxStateAge is how long after the last confirmation of its state a node reads the log
+	// itself. Until then it relies on the readers. Zero means defaultReaderTime after
+	// PollWait.
+	MaxStateAge time.Duration
+	// ReadRate is the number of reads a second that the nodes together begin if no reader
+	// confirms their state. Zero means defaultReadRate.
+	ReadRate int
 	// LeavingTargets is told which targets said in a response that they leave, and calls
 	// SetTargetLeaving. By default the node marks the target as leaving until its next
 	// announcement.
@@ -76,6 +83,11 @@
 	// defaultPollWait is well below the time after which a node's state counts
 	// as stale.
 	defaultPollWait = time.Second
+	// defaultReaderTime is the time in which a reader's confirmation reaches the nodes of a
+	// large failure domain.
+	defaultReaderTime = 3 * time.Second
+	// defaultReadRate is low, because a log may allow few reads.
+	defaultReadRate = 4
 )
 
 func (o Options) withDefaults(settings wharfsettings.Settings) Options {
@@ -94,6 +106,12 @@
 	if o.PollWait == 0 {
 		o.PollWait = defaultPollWait
 	}
+	if o.MaxStateAge == 0 {
+		o.MaxStateAge = o.PollWait + defaultReaderTime
+	}
+	if o.ReadRate == 0 {
+		o.ReadRate = defaultReadRate
+	}
 	return o
 }
 
