Bound the kept log records in bytes

A node kept its last 1,024 records for its peers, whatever their size; on the platform each of them is a whole configuration. They are now bounded by 1 MiB of data as well, and the newest one is always kept.

Ruled out: fewer records by number, which leaves their size to the operator.

--- a/wharfnode/internal/wharfview/view.go
+++ b/wharfnode/internal/wharfview/view.go
@@ -13,9 +13,13 @@
 	"ragwortwharf.dev/wharf/wharfstream"
 )
 
-// maxKeptRecords bounds the log records that a node keeps for its gossip peers. A
-// peer that lags further gets a snapshot.
-const maxKeptRecords = 1024
+// maxKeptRecords and maxKeptBytes bound the log records that a node keeps for its gossip
+// peers, in number and in bytes of data. The newest one is always kept. A peer that lags
+// further gets a snapshot.
+const (
+	maxKeptRecords = 1024
+	maxKeptBytes   = 1 << 20
+)
 
 // View is a node's current view of the log state and of the other nodes. It is
 // safe for concurrent use.
@@ -188,11 +192,23 @@
 			v.records = []wharfstream.Record{r}
 		}
 	}
-	if extra := len(v.records) - maxKeptRecords; extra > 0 {
+	if extra := extraRecords(v.records); extra > 0 {
 		v.records = append([]wharfstream.Record(nil), v.records[extra:]...)
 	}
 }
 
+// extraRecords returns how many of the first records exceed what is kept.
+func extraRecords(records []wharfstream.Record) int {
+	size := 0
+	for i := len(records) - 1; i >= 0; i-- {
+		size += len(records[i].Data)
+		if i < len(records)-1 && (size > maxKeptBytes || len(records)-i > maxKeptRecords) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // RecordsAfter returns the kept records after an offset, up to maxBytes bytes of
 // data but at least one record. The result is false if there are others after the offset
 // that are not kept, before those that are returned.
