Let callers and other nodes read responses slowly

Accepted connections inherited the TCP user timeout of 2 s, which Linux applies also to a peer that acknowledges its probes with a closed window. They have none now; a response is written until 2 s after the deadline of its request, so that a reader that was lost doesn't hold it for longer.

The same held between nodes: a response of 24 MiB from another node was cut.

Ruled out: a longer user timeout, since callers may read until their deadline.

The links and servers of the tests cut the long response with the same timeout and no longer have it.

--- a/wharf/wharfsocket/network.go
+++ b/wharf/wharfsocket/network.go
@@ -34,21 +34,26 @@
 	return nil
 }
 
-// Listen opens a listener of a node.
+// Listen opens a listener of a node for small responses.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	if n := Replacement(); n != nil {
 		return n.Listen(ctx, "tcp", address)
 	}
-	return listenConfig().Listen(ctx, "tcp", address)
+	return listenConfig(slices.Concat(probeOptions, dialOptions)).Listen(ctx, "tcp", address)
 }
 
-// ListenSmall opens a listener whose connections receive few bytes before they are read:
-// receiveBytes at most, in buffers of the kernel. A peer further away is slower for it.
-func ListenSmall(ctx context.Context, address string, receiveBytes int) (net.Listener, error) {
+// ListenForReaders opens a listener whose peers may read slowly, so whoever writes to its
+// connections bounds the time for that. If receiveBytes isn't zero, the kernel receives at
+// most as many bytes before they are read. A peer further away is slower for it.
+func ListenForReaders(ctx context.Context, address string, receiveBytes int) (net.Listener, error) {
 	if n := Replacement(); n != nil {
 		return n.Listen(ctx, "tcp", address)
 	}
-	return listenConfig(socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes}).Listen(ctx, "tcp", address)
+	options := probeOptions
+	if receiveBytes > 0 {
+		options = append(slices.Clip(options), socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes})
+	}
+	return listenConfig(options).Listen(ctx, "tcp", address)
 }
 
 // DialFunc makes a connection.
--- a/wharf/wharfsocket/socket.go
+++ b/wharf/wharfsocket/socket.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"syscall"
 	"time"
 
@@ -18,9 +17,13 @@
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
 	probeCount    = 2
-	// unackedTimeout is the TCP user timeout: the kernel closes a connection if
-	// sent bytes stay unacknowledged for this long.
+	// unackedTimeout is the TCP user timeout: the kernel closes a connection if sent bytes
+	// stay unacknowledged for this long, or if the peer reads nothing for as long.
 	unackedTimeout = 2 * time.Second
+	// DeliveryGrace is how long after the deadline of a request its sender may still read the
+	// response. A sender that has stopped reading or was lost holds memory of the node until
+	// then.
+	DeliveryGrace = unackedTimeout
 	// responseBytes is the receive buffer of a connection that the node opens, in bytes, which
 	// the kernel doubles. With a buffer that grows, the kernel receives megabytes of a response
 	// that the node doesn't read, and hundreds of such responses take the memory of a small VM.
@@ -44,15 +47,16 @@
 // receiveAhead is the option that bounds the receive buffer.
 var receiveAhead = socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, responseBytes}
 
-// listenOptions are the options of a listener. Linux passes them on to the connections that
-// it accepts, which saves the calls that would set them on each one.
-var listenOptions = append([]socketOption{
+// probeOptions are the options of a listener that configure the probes on idle connections.
+// Linux passes them on to the connections that it accepts, which saves the calls that would
+// set them on each one.
+var probeOptions = []socketOption{
 	{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
 	{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(probeIdle.Seconds())},
 	// The unit of the interval is a second, so that it is rounded up.
 	{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int((probeInterval + time.Second - 1).Seconds())},
 	{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount},
-}, dialOptions...)
+}
 
 // control returns a function that sets options of a socket before it is used.
 func control(options []socketOption) func(network, address string, c syscall.RawConn) error {
@@ -83,7 +87,7 @@
 	return true
 }
 
-// listenConfig returns the configuration of a node's listeners, with further options.
-func listenConfig(more ...socketOption) *net.ListenConfig {
-	return &net.ListenConfig{Control: control(slices.Concat(listenOptions, more)), KeepAlive: disabled}
+// listenConfig returns the configuration of a listener.
+func listenConfig(options []socketOption) *net.ListenConfig {
+	return &net.ListenConfig{Control: control(options), KeepAlive: disabled}
 }
--- a/wharf/wharfsocket/socket_test.go
+++ b/wharf/wharfsocket/socket_test.go
@@ -34,6 +34,29 @@
 	}
 }
 
+// TestPeersMayReadSlowly guards against connections that the kernel resets because the peer
+// reads nothing for a while.
+func TestPeersMayReadSlowly(t *testing.T) {
+	for _, receiveBytes := range []int{0, 4096} {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		l, err := ListenForReaders(ctx, "127.0.0.1:0", receiveBytes)
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+		dialed, err := Plain(time.Minute)(ctx, "tcp", l.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = dialed.Close() }()
+		accepted, err := l.Accept()
+		is.NoErr(err)
+		defer func() { _ = accepted.Close() }()
+		is.Equal(option(t, accepted, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), 0)
+		is.Equal(option(t, accepted, unix.SOL_SOCKET, unix.SO_KEEPALIVE), 1)
+		is.Equal(option(t, accepted, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), 1)
+		is.Equal(option(t, accepted, unix.IPPROTO_TCP, unix.TCP_KEEPCNT), probeCount)
+	}
+}
+
 // option returns the value of a socket option of a connection.
 func option(t *testing.T, c net.Conn, level, name int) int {
 	t.Helper()
--- a/wharf/wharfsocket/wharfmemnet/bubble.go
+++ b/wharf/wharfsocket/wharfmemnet/bubble.go
@@ -29,7 +29,7 @@
 // NewServer starts a server on the network in use. It ends with the test.
 func NewServer(t testing.TB, h http.Handler) *httptest.Server {
 	t.Helper()
-	l, err := wharfsocket.Listen(t.Context(), "127.0.0.1:0")
+	l, err := wharfsocket.ListenForReaders(t.Context(), "127.0.0.1:0", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wharfnode/internal/wharfcallers/conn.go
+++ b/wharfnode/internal/wharfcallers/conn.go
@@ -119,7 +119,8 @@
 	c.handled.Store(true)
 }
 
-// requestEnded records that the response was sent, or that the connection has ended.
+// requestEnded records that the response was sent, or that the connection has ended. The time
+// in which the caller had to read that response doesn't bound the next one.
 func (c *conn) requestEnded() {
 	if c.http2 {
 		return
@@ -127,6 +128,8 @@
 	c.returnPass()
 	c.read = 0
 	c.handled.Store(false)
+	// The error is ignored: the connection is closed then.
+	_ = c.SetWriteDeadline(time.Time{})
 }
 
 // CloseWrite ends the sending side, so that a caller who still sends gets the response.
--- a/wharfnode/internal/wharfproxy/respond.go
+++ b/wharfnode/internal/wharfproxy/respond.go
@@ -9,6 +9,7 @@
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
 	"ragwortwharf.dev/wharf/wharfrouting"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 	"ragwortwharf.dev/wharfnode/internal/wharftransport"
 	"ragwortwharf.dev/wharfnode/wharfevents"
@@ -144,6 +145,7 @@
 		return err
 	}
 	x.proxy.Protocol.SetResponseHeaders(h)
+	x.call.boundDelivery()
 	x.call.closeDuringUpload()
 	if x.call.r.Method == http.MethodHead {
 		length = head.GetContentLength()
@@ -155,6 +157,16 @@
 	return nil
 }
 
+// boundDelivery bounds the time in which the caller reads the response.
+func (c *call) boundDelivery() {
+	end := c.deadline
+	if now := time.Now(); end.Before(now) {
+		end = now
+	}
+	// A writer without deadlines bounds the time itself.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(end.Add(wharfsocket.DeliveryGrace))
+}
+
 // bodyAllowed reports whether RFC 9110 allows a body in responses with a status, so that
 // Content-Length may be set from the length that was received.
 func bodyAllowed(status int) bool {
--- a/wharfnode/internal/wharftransport/server.go
+++ b/wharfnode/internal/wharftransport/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 )
 
@@ -102,6 +103,7 @@
 		return nil
 	}
 	s.begun, s.readLater = true, f.GetEnd() == nil
+	s.boundDelivery(f.GetHead())
 	if !s.readLater {
 		return nil
 	}
@@ -110,6 +112,13 @@
 	return http.NewResponseController(s.w).EnableFullDuplex()
 }
 
+// boundDelivery bounds the time in which the sender reads the response.
+func (s *serverStream) boundDelivery(head *wharfwire.CallHead) {
+	timeout := wharfwire.Duration(head.GetTimeoutMs())
+	// A writer without deadlines bounds the time itself.
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(timeout + wharfsocket.DeliveryGrace))
+}
+
 // Send writes a frame. A frame that is the complete response is sent with a
 // Content-Length, so that it takes one write.
 func (s *serverStream) Send(f *wharfwire.AnswerFrame) error {
--- a/wharfnode/wharfserver/link_test.go
+++ b/wharfnode/wharfserver/link_test.go
@@ -32,7 +32,8 @@
 
 func newLink(t *testing.T, to string) *link {
 	t.Helper()
-	listener, err := wharfsocket.Listen(t.Context(), "127.0.0.1:0")
+	// A link delays no reader, so its connections have no timeout of their own.
+	listener, err := wharfsocket.ListenForReaders(t.Context(), "127.0.0.1:0", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -301,10 +301,14 @@
 // listenAt opens a listener. If memory is limited, that of the callers receives few bytes
 // before they are read, because those count as memory of the node.
 func (n *Node) listenAt(ctx context.Context, address string) (net.Listener, error) {
+	if address == n.settings.AdminListen {
+		return wharfsocket.Listen(ctx, address)
+	}
+	receiveBytes := 0
 	if n.options.Memory > 0 && address == n.settings.CallerListen {
-		return wharfsocket.ListenSmall(ctx, address, wharfcallers.ReceiveBytes)
+		receiveBytes = wharfcallers.ReceiveBytes
 	}
-	return wharfsocket.Listen(ctx, address)
+	return wharfsocket.ListenForReaders(ctx, address, receiveBytes)
 }
 
 // peerHandler serves the requests of other nodes: calls over HTTP/1.1, and gRPC
@@ -318,6 +322,8 @@
 // ServeHTTP passes HTTP/2 requests to the gRPC server and the others to the
 // call handler.
 func (h peerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of an earlier call on the connection doesn't bound this response.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	switch {
 	case r.ProtoMajor == 2:
 		h.control.ServeHTTP(w, r)
