Learn from other nodes which targets had left before a restart

The other nodes knew of the departure and forgot it when they replaced the entry of the earlier process. They keep it for a minute now and send it to the later process, which ends the targets that had left and writes that to the store. A target's start time, a new label, tells a later start under the same id apart.

Ruled out: a later acknowledgement, which ends the target without one after a second; two heartbeats before a target is believed, which delays every restart.

--- a/wharf/wharfmember/incarnations.go
+++ b/wharf/wharfmember/incarnations.go
@@ -42,7 +42,7 @@
 // Observe records an announcement. It reports whether the announcement is a new
 // one from the target that uses the address now.
 func (t *IncarnationTracker) Observe(a TargetAnnouncement) bool {
-	if t.hasEnded(a) {
+	if t.HasEnded(a) {
 		return false
 	}
 	switch {
@@ -64,7 +64,7 @@
 // effect. It returns false if that target doesn't use the address.
 func (t *IncarnationTracker) End(a TargetAnnouncement) bool {
 	if !t.known || a.Instance != t.current.Instance || a.StartedMs != 0 && a.StartedMs < t.current.StartedMs {
-		if !t.hasEnded(a) {
+		if !t.HasEnded(a) {
 			t.end(a)
 		}
 		return false
@@ -95,9 +95,9 @@
 	}
 }
 
-// hasEnded reports whether an announcement comes from an incarnation that has
+// HasEnded reports whether an announcement comes from an incarnation that has
 // ended.
-func (t *IncarnationTracker) hasEnded(a TargetAnnouncement) bool {
+func (t *IncarnationTracker) HasEnded(a TargetAnnouncement) bool {
 	for _, e := range t.ended {
 		if e.Instance == a.Instance && !a.startedAfter(e) {
 			return true
--- a/wharf/wharfmember/member.go
+++ b/wharf/wharfmember/member.go
@@ -45,6 +45,10 @@
 // changes with each start of the target.
 const LabelInstance = "instance"
 
+// LabelStarted is the label with the start time of a target in Unix milliseconds. It tells
+// the incarnations of a target apart that have the same instance.
+const LabelStarted = "started"
+
 // Target is the announcement of a target to its node.
 type Target struct {
 	Service string            `json:"service"`
@@ -87,6 +91,17 @@
 	return m
 }
 
+// LeavingTargets returns the targets that are leaving.
+func (m Member) LeavingTargets() []Target {
+	var out []Target
+	for _, t := range m.Targets {
+		if t.Leaving {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // WithState returns the entry with the given state.
 func (m Member) WithState(s State) Member {
 	m.State = s
--- a/wharfnode/internal/wharfcluster/agent.go
+++ b/wharfnode/internal/wharfcluster/agent.go
@@ -49,6 +49,8 @@
 	Quarantine *wharfquarantine.List
 	Keys       *wharfidempotency.KeyStore
 	Directory  directory
+	// DepartedTargets may be nil, if departures aren't kept.
+	DepartedTargets departedTargets
 	// OwnsKeys is whether this node owns keys that callers chose.
 	OwnsKeys bool
 	// Readers is how many nodes of a failure domain read the log, and PollWait
@@ -87,6 +89,7 @@
 	detector wharfmember.FailureDetector
 	updates  []memberUpdate
 	departed departedNodes
+	earlier  earlierProcesses
 	// ahead is a node with a later state, from which the next round gets it.
 	ahead string
 	// refused holds the nodes whose entries were refused and logged.
--- a/wharfnode/internal/wharfcluster/exchange.go
+++ b/wharfnode/internal/wharfcluster/exchange.go
@@ -92,7 +92,7 @@
 // syncRequest builds a request with the member entries in the buckets whose
 // digests differ from those of the peer. It begins at a random bucket, so that
 // the limit doesn't omit the same entries each time.
-func (a *Agent) syncRequest(peerDigests []uint64) *wharfwire.ExchangeRequest {
+func (a *Agent) syncRequest(peer string, peerDigests []uint64) *wharfwire.ExchangeRequest {
 	r := &wharfwire.ExchangeRequest{
 		From: a.View.Node(), Incarnation: a.View.Incarnation(), ConfigOffset: a.View.State().Offset(),
 	}
@@ -101,6 +101,9 @@
 		r.Buckets = append([]uint64(nil), t.Digests()[:]...)
 		r.Members = packMembers(t.Differing(digests(peerDigests), wharfrandom.New().IntN(wharfmember.Buckets), maxEntries))
 	})
+	if m, ok := a.View.Member(peer); ok {
+		r.Members = append(r.Members, a.packEarlier(peer, m.Incarnation)...)
+	}
 	return r
 }
 
@@ -129,6 +132,7 @@
 	}
 	a.addState(response, r.GetConfigOffset())
 	a.addMembers(response, r)
+	response.Members = append(response.Members, a.packEarlier(r.GetFrom(), r.GetIncarnation())...)
 	return response, nil
 }
 
@@ -260,10 +264,13 @@
 			wharfevents.Field{Name: "state", Value: n.State.String()})
 	}
 	if len(result.Changed) > 0 {
+		now := time.Now()
 		a.mu.Lock()
-		a.departed.record(time.Now(), result.Changed)
+		a.departed.record(now, result.Changed)
+		a.earlier.record(now, result.Replaced)
 		a.mu.Unlock()
 	}
+	a.restoreDeparted(result.Earlier)
 	if len(result.Changed) > 0 && len(result.Changed) <= maxUpdates {
 		a.queueUpdates(result.Changed)
 		a.TriggerRound()
--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -199,7 +199,7 @@
 // most maxSyncs exchanges.
 func (a *Agent) sync(ctx context.Context, client wharfwire.NodeClient, peer string, response *wharfwire.ExchangeResponse) error {
 	for i := 0; i < maxSyncs && len(response.GetBuckets()) > 0; i++ {
-		request, sentAt := a.syncRequest(response.GetBuckets()), time.Now()
+		request, sentAt := a.syncRequest(peer, response.GetBuckets()), time.Now()
 		next, err := client.Exchange(ctx, request)
 		if err != nil {
 			return err
--- a/wharfnode/internal/wharfview/members.go
+++ b/wharfnode/internal/wharfview/members.go
@@ -42,6 +42,11 @@
 type MergeResult struct {
 	// Changed lists the entries that changed the table.
 	Changed []wharfmember.Member
+	// Replaced lists the entries of earlier processes of other nodes that had leaving targets
+	// and were replaced.
+	Replaced []wharfmember.Member
+	// Earlier lists the received entries of earlier processes of this node.
+	Earlier []wharfmember.Member
 	// Refute is whether another node believes that this node is down or has
 	// left.
 	Refute bool
@@ -62,8 +67,13 @@
 			result.compareSelf(self, m)
 			continue
 		}
-		if v.members.Merge(m) {
-			result.Changed = append(result.Changed, m)
+		old, known := v.members.Get(m.Node)
+		if !v.members.Merge(m) {
+			continue
+		}
+		result.Changed = append(result.Changed, m)
+		if known && old.Incarnation < m.Incarnation && len(old.LeavingTargets()) > 0 {
+			result.Replaced = append(result.Replaced, old)
 		}
 	}
 	v.services.Store(int64(v.members.ServiceCount()))
@@ -77,6 +87,8 @@
 // compareSelf compares a received entry of this node with its own entry.
 func (r *MergeResult) compareSelf(self, received wharfmember.Member) {
 	switch {
+	case received.Incarnation < self.Incarnation:
+		r.Earlier = append(r.Earlier, received)
 	case received.Incarnation > self.Incarnation:
 		r.NewerIncarnation = max(r.NewerIncarnation, received.Incarnation)
 	case received.Incarnation == self.Incarnation && received.Version >= self.Version && received.State > self.State:
--- a/wharfnode/wharfserver/node.go
+++ b/wharfnode/wharfserver/node.go
@@ -148,7 +148,7 @@
 	ledger, quarantine, keys := &wharfbudget.Ledger{}, &wharfquarantine.List{}, &wharfidempotency.KeyStore{}
 	n.agent = &wharfcluster.Agent{
 		View: n.view, Peers: n.peers, LogClient: options.Log,
-		Registry: registry, Quarantine: quarantine, Keys: keys, Directory: options.Directory,
+		Registry: registry, Quarantine: quarantine, Keys: keys, Directory: options.Directory, DepartedTargets: options.DepartedTargets,
 		OwnsKeys: !options.NoCallerKeys, Readers: options.Readers, PollWait: options.PollWait,
 		MaxStateAge: options.MaxStateAge, ReadRate: options.ReadRate,
 		SnapshotInterval: settings.SnapshotInterval, TargetTimeout: settings.TargetTimeout,
--- a/wharfnode/wharfserver/options.go
+++ b/wharfnode/wharfserver/options.go
@@ -28,6 +28,12 @@
 	Remove(ctx context.Context, departed wharfmember.Member) error
 }
 
+// DepartedTargets learns which targets on this VM had left before the node started. Other nodes
+// may tell it several times.
+type DepartedTargets interface {
+	RestoreDeparted(targets []wharfmember.Target)
+}
+
 // LeavingTargets learns that a target said in a response that it leaves.
 type LeavingTargets interface {
 	TargetSaysLeaving(instance, address string)
@@ -69,6 +75,9 @@
 	// SetTargetLeaving. By default the node marks the target as leaving until its next
 	// announcement.
 	LeavingTargets LeavingTargets
+	// DepartedTargets is told which targets had left when an earlier process of this node
+	// ended. It may be nil.
+	DepartedTargets DepartedTargets
 	// Memory is what the runtime may use, in bytes. The node bounds what it holds for others
 	// by a part of it. Zero means no limit.
 	Memory int64
