End a quarantine by a success of the request

A success after the second crash was ignored, although a request that crashes its targets never completes. A success now clears the crashes of a quarantined request on all nodes.

Ruled out: to count crashes at about one time as one, which lets a crashing request that is sent to several targets crash one more.

--- a/wharf/wharfquarantine/entry.go
+++ b/wharf/wharfquarantine/entry.go
@@ -37,7 +37,7 @@
 	CrashID
 	// Cleared is true if the request has completed without a crash since. The
 	// cleared crash is kept, so that merging the entry of a node that does not
-	// know about the success can't make the request suspected again.
+	// know about the success can't make the request suspected or quarantined again.
 	Cleared bool
 }
 
@@ -78,17 +78,22 @@
 	if i >= 0 && (e.Crashes[i].Cleared || !c.Cleared) {
 		return e, false
 	}
-	crashes := slices.Clone(e.Crashes)
+	e.Crashes = slices.Clone(e.Crashes)
 	if i >= 0 {
-		crashes[i].Cleared = true
-	} else {
-		crashes = append(dropCleared(crashes), c)
+		e.Crashes[i].Cleared = true
+		e.Quarantined = e.hasEnoughCrashes()
+		return e, true
 	}
-	e.Crashes = crashes
-	e.Quarantined = e.Quarantined || len(e.Targets()) >= crashesToQuarantine
+	e.Crashes = append(dropCleared(e.Crashes), c)
+	e.Quarantined = e.Quarantined || e.hasEnoughCrashes()
 	return e, true
 }
 
+// hasEnoughCrashes reports whether the crashes that are not cleared suffice for a quarantine.
+func (e Entry) hasEnoughCrashes() bool {
+	return len(e.Targets()) >= crashesToQuarantine
+}
+
 // dropCleared makes room for another crash if the list is full. It drops the oldest
 // cleared crash, or the oldest of all if none is cleared.
 func dropCleared(crashes []Crash) []Crash {
--- a/wharf/wharfquarantine/list.go
+++ b/wharf/wharfquarantine/list.go
@@ -81,7 +81,9 @@
 	for _, c := range other.Crashes {
 		e, _ = e.withCrash(c)
 	}
-	e.Quarantined = e.Quarantined || other.Quarantined
+	// A quarantine that follows from the crashes ends with them. Some of the crashes of another
+	// one may have been dropped from its entry.
+	e.Quarantined = e.Quarantined || other.Quarantined && !other.hasEnoughCrashes()
 	if other.Expires.After(e.Expires) {
 		e.Expires = other.Expires
 	}
@@ -89,16 +91,16 @@
 	return e.Quarantined && !before
 }
 
-// RecordSuccess clears a suspected request that completed without a crash. It
-// returns the changed entry, which the other nodes have to merge. The result is
-// false if the request was not suspected, or is quarantined: a quarantine lasts
-// until it expires.
+// RecordSuccess clears a suspected request that completed without a crash, and ends its
+// quarantine: it was in flight at another target when it was quarantined. It returns the
+// changed entry, which the other nodes have to merge. The result is false if the request was
+// not suspected.
 func (l *List) RecordSuccess(now time.Time, fp Fingerprint) (Entry, bool) {
 	s := l.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.get(now, fp)
-	if e.Quarantined || !e.Suspected() {
+	if !e.Suspected() {
 		return e, false
 	}
 	for _, c := range e.Crashes {
--- a/wharf/wharfquarantine/list_test.go
+++ b/wharf/wharfquarantine/list_test.go
@@ -43,6 +43,24 @@
 			l.RecordSuccess(epoch, 1)
 			l.RecordCrash(epoch, crash("b", 1), []Fingerprint{1})
 		}, epoch, false},
+		{"success of a run that was in flight at a third target", func(l *List) {
+			l.RecordCrash(epoch, crash("a", 1), []Fingerprint{1})
+			l.RecordCrash(epoch, crash("b", 1), []Fingerprint{1})
+			l.RecordSuccess(epoch, 1)
+		}, epoch, false},
+		{"one crash after such a success", func(l *List) {
+			l.RecordCrash(epoch, crash("a", 1), []Fingerprint{1})
+			l.RecordCrash(epoch, crash("b", 1), []Fingerprint{1})
+			l.RecordSuccess(epoch, 1)
+			l.RecordCrash(epoch, crash("c", 1), []Fingerprint{1})
+		}, epoch, false},
+		{"two crashes after such a success", func(l *List) {
+			l.RecordCrash(epoch, crash("a", 1), []Fingerprint{1})
+			l.RecordCrash(epoch, crash("b", 1), []Fingerprint{1})
+			l.RecordSuccess(epoch, 1)
+			l.RecordCrash(epoch, crash("c", 1), []Fingerprint{1})
+			l.RecordCrash(epoch, crash("d", 1), []Fingerprint{1})
+		}, epoch, true},
 		{"second crash merged from another node", func(l *List) {
 			l.RecordCrash(epoch, crash("a", 1), []Fingerprint{1})
 			l.Merge(epoch, Entry{Fingerprint: 1, Crashes: []Crash{{CrashID: crash("b", 1)}}, Expires: epoch.Add(time.Minute)})
@@ -128,6 +146,37 @@
 	is.True(!refused)
 }
 
+// TestEndedQuarantineStaysEnded guards against a quarantine that comes back from the entry of a
+// node that does not know about the success, and against one that other nodes never end.
+func TestEndedQuarantineStaysEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 4
+		var lists [nodes]List
+		for i := range lists {
+			lists[i].RecordCrash(epoch, crash("a", 1), []Fingerprint{1})
+			lists[i].RecordCrash(epoch, crash("b", 1), []Fingerprint{1})
+		}
+		lists[0].RecordSuccess(epoch, 1)
+		merge := func(to, from int) {
+			for _, e := range lists[from].Entries(epoch) {
+				lists[to].Merge(epoch, e)
+			}
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "exchanges") {
+			merge(rapid.IntRange(0, nodes-1).Draw(t, "to"), rapid.IntRange(0, nodes-1).Draw(t, "from"))
+		}
+		for i := range lists {
+			merge(i, 0)
+		}
+		for i := range lists {
+			merge(0, i)
+			if _, refused := lists[i].Quarantined(epoch, 1); refused || lists[i].Suspected(epoch, 1) {
+				t.Fatalf("node %d still refuses or suspects the request", i)
+			}
+		}
+	})
+}
+
 // TestClearedCrashStaysCleared guards against a node that suspects a request again,
 // because it merges the entry of a node that does not know about the success. The
 // nodes exchange the entry of one crash in any order, some of them before they
--- a/wharfnode/wharfserver/containment_test.go
+++ b/wharfnode/wharfserver/containment_test.go
@@ -245,3 +245,64 @@
 	is.Equal(got.reason, "quarantined")
 	is.Equal(d.crashes.Load(), int32(1))
 }
+
+// TestPopularRequestIsServedAfterTwoCrashes guards against a harmless request that all nodes
+// refuse because it was in flight at two targets that crashed together, while it completed at a
+// third one.
+func TestPopularRequestIsServedAfterTwoCrashes(t *testing.T) {
+	c := newTestCluster(t)
+	var targets [3]deadlyTarget
+	var complete [3]chan struct{}
+	for i := range targets {
+		complete[i] = make(chan struct{})
+		n := c.startNode(fmt.Sprint("domain-", i))
+		c.startTarget(n, "boards", func(w http.ResponseWriter, _ *http.Request) {
+			dead := targets[i].dead()
+			targets[i].running.Add(1)
+			defer targets[i].running.Add(-1)
+			select {
+			case <-dead:
+				closeWithoutResponse(w)
+			case <-complete[i]:
+				hello(w, nil)
+			}
+		})
+	}
+	popular := request{service: "boards", path: "/beside"}
+	running := func() bool {
+		for i := range targets {
+			if targets[i].running.Load() == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	var group sync.WaitGroup
+	for range 4 {
+		for _, n := range c.nodes {
+			group.Go(func() { n.send(popular) })
+		}
+	}
+	wharftest.Eventually(t, "the request runs at all targets", running)
+	targets[0].endBeside()
+	targets[1].endBeside()
+	wharftest.Eventually(t, "the request is quarantined", func() bool {
+		_, quarantined := c.nodes[2].agent.Quarantine.Quarantined(time.Now(), fingerprintOnly(c.nodes[2]))
+		return quarantined
+	})
+	for i := range complete {
+		close(complete[i])
+	}
+	group.Wait()
+	for _, n := range c.nodes {
+		wharftest.Eventually(t, "the request is served again", func() bool { return n.send(popular).status == http.StatusOK })
+	}
+}
+
+// fingerprintOnly returns the fingerprint of the only request in the list of a node, or zero.
+func fingerprintOnly(n *testNode) wharfquarantine.Fingerprint {
+	if entries := n.agent.Quarantine.Entries(time.Now()); len(entries) == 1 {
+		return entries[0].Fingerprint
+	}
+	return 0
+}
