Look for departed nodes also without any other peer

Of two nodes, one that restarted while the store was away stayed without a configuration: a node without peers asked the store for others and skipped the probes of departed nodes. Callers of the restarted node got 503.

--- a/wharfnode/internal/wharfcluster/round.go
+++ b/wharfnode/internal/wharfcluster/round.go
@@ -130,7 +130,6 @@
 	peers := r.peers()
 	if len(peers) == 0 {
 		r.agent.join(ctx)
-		return
 	}
 	since := r.sentOffset
 	r.sentOffset = r.agent.View.State().Offset()
