Show that a node that stops reading doesn't hold a response

TestSenderThatStopsReadingIsGivenUp fails without the deadline that set for responses to other nodes: the call never ends.

--- a/wharfnode/internal/wharftransport/transport_test.go
+++ b/wharfnode/internal/wharftransport/transport_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"ragwortwharf.dev/wharf/wharfoutcome"
+	"ragwortwharf.dev/wharf/wharfsocket"
 	"ragwortwharf.dev/wharf/wharfwire"
 )
 
@@ -505,3 +506,31 @@
 	}
 	is.True(c.Connections() <= maxIdleConns)
 }
+
+// TestSenderThatStopsReadingIsGivenUp guards against responses that are held for another node that
+// has stopped reading or was lost.
+func TestSenderThatStopsReadingIsGivenUp(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	is := is.New(t)
+	ended := make(chan time.Duration, 1)
+	_, address := startNode(t, &scriptedReceiver{serve: func(s ServerStream, f *wharfwire.CallFrame) error {
+		started, head := time.Now(), &wharfwire.AnswerHead{AttemptId: f.GetHead().GetAttemptId()}
+		chunk := make([]byte, wharfwire.ChunkSize)
+		for time.Since(started) < time.Minute {
+			if err := s.Send(&wharfwire.AnswerFrame{Head: head, Chunk: chunk}); err != nil {
+				break
+			}
+			head = nil
+		}
+		ended <- time.Since(started)
+		return nil
+	}})
+	x := (&Client{}).Open(t.Context(), address)
+	is.NoErr(x.Send(&wharfwire.CallFrame{Head: &wharfwire.CallHead{AttemptId: 7, TimeoutMs: timeout.Milliseconds()}, End: &wharfwire.BodyEnd{}}))
+	is.NoErr(x.CloseSend())
+	_, err := x.Recv()
+	is.NoErr(err)
+	elapsed := <-ended
+	is.True(elapsed >= timeout)
+	is.True(elapsed < timeout+wharfsocket.DeliveryGrace+time.Second)
+}
