--- a/wharfnode/internal/wharftransport/transport_test.go
+++ b/wharfnode/internal/wharftransport/transport_test.go
@@ -516,14 +516,13 @@
 	_, address := startNode(t, &scriptedReceiver{serve: func(s ServerStream, f *wharfwire.CallFrame) error {
 		started, head := time.Now(), &wharfwire.AnswerHead{AttemptId: f.GetHead().GetAttemptId()}
 		chunk := make([]byte, wharfwire.ChunkSize)
-		for time.Since(started) < time.Minute {
-			if err := s.Send(&wharfwire.AnswerFrame{Head: head, Chunk: chunk}); err != nil {
-				break
-			}
+		var err error
+		for err == nil {
+			err = s.Send(&wharfwire.AnswerFrame{Head: head, Chunk: chunk})
 			head = nil
 		}
 		ended <- time.Since(started)
-		return nil
+		return err
 	}})
 	x := (&Client{}).Open(t.Context(), address)
 	is.NoErr(x.Send(&wharfwire.CallFrame{Head: &wharfwire.CallHead{AttemptId: 7, TimeoutMs: timeout.Milliseconds()}, End: &wharfwire.BodyEnd{}}))
