Look for a late append again before it is repeated

An append without a response took effect after the publisher had looked for it: the stand-in appends once it notices that the client has gone. The publisher then repeated the append, which waited for the rest of the time, and ended without a look. It looks again just before it repeats the append now.

Ruled out: a longer time in the test, which hides that operators of a slow log get "unknown" for a change that is in it.

--- a/wharfctl/internal/wharfpublish/publisher.go
+++ b/wharfctl/internal/wharfpublish/publisher.go
@@ -137,12 +137,16 @@
 		}
 		refused := errors.Is(err, wharfstream.ErrRateLimited) || errors.Is(err, wharfstream.ErrUnavailable)
 		mayBeAppended = mayBeAppended || !refused
-		next, decision, found := p.findDecision(ctx, s, change.ID)
-		if found {
-			return Result{Known: true, Decision: decision}
+		// An append without a response may take effect later, so the second look comes just
+		// before the next append.
+		for _, pause := range []time.Duration{0, retryInterval} {
+			wharftimer.Sleep(ctx, pause)
+			next, decision, found := p.findDecision(ctx, s, change.ID)
+			if found {
+				return Result{Known: true, Decision: decision}
+			}
+			s = next
 		}
-		s = next
-		wharftimer.Sleep(ctx, retryInterval)
 	}
 	if !mayBeAppended {
 		return Result{Known: true, Err: oops.Code("not-published").Wrapf(lastErr, "nothing was published")}
