--- a/wharfnode/internal/wharfcluster/follower.go
+++ b/wharfnode/internal/wharfcluster/follower.go
@@ -143,7 +143,7 @@
 		rate = emptyReadRate
 	}
 	longest := time.Second * time.Duration(max(f.agent.View.KnownNodes(), 1)) / time.Duration(rate)
-	return time.Duration(f.rng.Int64N(int64(longest)))
+	return time.Duration(f.rng.Int64N(int64(max(longest, 1))))
 }
 
 // askAge is the age of the last confirmation at which a node asks a reader. A reader that
--- a/wharfnode/internal/wharfcluster/follower_test.go
+++ b/wharfnode/internal/wharfcluster/follower_test.go
@@ -94,3 +94,16 @@
 		})
 	}
 }
+
+// TestReadRateOfAnySize guards against a node that ends because its settings allow so many reads
+// that no wait is left.
+func TestReadRateOfAnySize(t *testing.T) {
+	for _, rate := range []int{1, 1_000_000_000, 1 << 30, math.MaxInt} {
+		is := is.New(t)
+		a := &Agent{View: wharfview.New(wharfmember.Member{Node: "n00", FailureDomain: "d"}), ReadRate: rate}
+		applyRoutes(t, a.View, 1)
+		f := &follower{agent: a, rng: rand.New(rand.NewPCG(1, 1))}
+		is.True(f.staleWait() >= 0)
+		is.True(f.staleWait() <= time.Second)
+	}
+}
